--- /dev/null
+++ b/bramblestile/__init__.py
@@ -0,0 +1,1 @@
+"""The program round the decision module: sockets, what is remembered, start and stop. Start at ``life``."""
--- /dev/null
+++ b/bramblestile/memory/connections.py
@@ -0,0 +1,311 @@
+"""Standing connections: one thread per direction, moves between two messages, and who has gone mute."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+from queue import SimpleQueue
+from typing import Protocol
+
+from bramblestile.clock import NOTHING, now
+from bramblestile.wire import sockets
+from vanegw.interface import Status
+
+MOST = 65536  # bytes passed on at once
+LAST_WORD = timedelta(seconds=1)  # after the downstream's end, for the upstream host to end too
+MOVE_BOUND = timedelta(milliseconds=500)  # a move waits so long for a message in passing to be whole
+WATCH_EVERY = timedelta(milliseconds=250)
+NOTE_EVERY = timedelta(seconds=1)  # between two notes of one upstream host's delay
+
+
+class Kind(Enum):
+    """What a message passing through means to the balancer."""
+
+    ANSWER = "answer"  # something came back
+    ASK = "ask"  # something is to come back
+    LOAD = "load"
+    LAST = "last"  # served to its end
+    AWAY = "away"  # the upstream host sends its client away
+    DRAINS = "drains"  # the upstream host says that it drains
+    OTHER = "other"
+
+
+@dataclass(slots=True, frozen=True)
+class Message:
+    kind: Kind
+    value: float = 0.0
+
+
+class Framer(Protocol):
+    """Follows one direction. It never changes a byte; it knows where messages end and what they mean."""
+
+    def feed(self, data: memoryview) -> tuple[int, list[Message]]:
+        """How much of the data may go on now, and what messages ended in it."""
+
+    def between(self) -> bool:
+        """All that has gone on so far ends with a whole message."""
+
+
+class Observer(Protocol):
+    """Who hears of a standing connection's news."""
+
+    def load(self, standing: Standing, value: float) -> None: ...
+
+    def delay(self, standing: Standing, delay: timedelta) -> None: ...
+
+    def drains(self, standing: Standing) -> None: ...
+
+
+@dataclass(slots=True)
+class Standing:
+    """A connection that is up: its two sockets, and what is known of its end."""
+
+    id: str
+    host: str
+    downstream: socket.socket
+    upstream: socket.socket
+    farewell: bytes  # what tells the downstream to move
+    from_upstream: Framer
+    from_downstream: Framer
+    first_up: bytes = b""  # read too early, to go on first
+    first_down: bytes = b""
+    asked: deque[timedelta] = field(default_factory=deque)  # when each unanswered message went up
+    lock: threading.Lock = field(default_factory=threading.Lock)  # writes to the downstream
+    moved: bool = False
+    started: bool = False  # the downstream has its first answer: only then can it be told to move
+    move_wanted: bool = False
+    last: Kind = Kind.OTHER
+    reset_down: bool = False  # the downstream's side broke
+    reset_up: bool = False
+    over: threading.Event = field(default_factory=threading.Event)
+
+    def carry(self, observer: Observer) -> Status:
+        """Passes all bytes on, both ways, until either side ends; ends the other in the same way."""
+        back = threading.Thread(target=self._pass_up, name="up " + self.id, daemon=True)
+        back.start()
+        try:
+            self._pass_down(observer)
+        finally:
+            self.over.set()
+            # The host's end is passed on at once; shutting both wakes the other thread.
+            if not self.reset_up:
+                sockets.wake(self.downstream)
+            else:
+                sockets.wake(self.downstream, socket.SHUT_RD)
+            sockets.wake(self.upstream, socket.SHUT_RD if self.reset_down else socket.SHUT_RDWR)
+            back.join()
+            sockets.close(self.downstream, reset=self.reset_up and not self.moved)
+            sockets.close(self.upstream, reset=self.reset_down)
+        if self.moved or self.last is Kind.AWAY:
+            return Status.CANCELLED
+        return Status.SERVED if self.last is Kind.LAST else Status.CUT
+
+    def _pass_down(self, observer: Observer) -> None:
+        buffer = bytearray(MOST // 8)
+        view = memoryview(buffer)
+        have = len(self.first_down)
+        buffer[:have] = self.first_down
+        fresh = have > 0
+        while True:
+            if not fresh:
+                try:
+                    got = self.upstream.recv_into(view[have:])
+                except OSError:
+                    self.reset_up = True
+                    got = 0
+                if got == 0:
+                    self._write_down(view[:have])  # the last, broken message goes on as it came
+                    return
+                have += got
+            fresh = False
+            passed, messages = self.from_upstream.feed(view[:have])
+            if passed == 0 and have == len(buffer):
+                passed = have  # longer than any message may be: not ours to judge
+            self._hear(messages, observer)
+            if not self._write_down(view[:passed]):
+                return
+            buffer[:have - passed] = buffer[passed:have]
+            have -= passed
+
+    def _hear(self, messages: list[Message], observer: Observer) -> None:
+        for message in messages:
+            if message.kind is Kind.ANSWER and self.asked:
+                observer.delay(self, now() - self.asked.popleft())
+            elif message.kind is Kind.LOAD:
+                observer.load(self, message.value)
+            elif message.kind is Kind.DRAINS:
+                observer.drains(self)
+            self.last = message.kind
+
+    def _write_down(self, data: memoryview) -> bool:
+        """Passes data on, then says the farewell if a move waits for this message's end."""
+        with self.lock:
+            if self.moved:
+                return False
+            try:
+                sockets.write(self.downstream, [data])
+            except OSError:
+                self.reset_down = True
+                return False
+            self.started = True
+            if self.move_wanted and self.from_upstream.between():
+                self._farewell()
+            return not self.moved
+
+    def _pass_up(self) -> None:
+        buffer = bytearray(MOST // 8)
+        view = memoryview(buffer)
+        got = len(self.first_up)
+        buffer[:got] = self.first_up
+        while True:
+            if got:
+                _, messages = self.from_downstream.feed(view[:got])
+                at = now()
+                self.asked.extend(at for message in messages if message.kind is Kind.ASK)
+                try:
+                    sockets.write(self.upstream, [view[:got]])
+                except OSError:
+                    return  # the other thread sees how the upstream host ended
+            try:
+                got = self.downstream.recv_into(view)
+            except OSError:
+                self.reset_down = True
+                break
+            if got == 0:
+                break
+        if self.over.is_set() or self.moved:
+            return
+        if self.reset_down:
+            sockets.wake(self.upstream, socket.SHUT_RD)
+            return
+        sockets.wake(self.upstream, socket.SHUT_WR)
+        if not self.over.wait(LAST_WORD.total_seconds()):
+            sockets.wake(self.upstream)
+
+    def move(self) -> bool:
+        """Tells the downstream to move, between two messages, and ends both sides. False if it is over."""
+        if not self.lock.acquire(timeout=MOVE_BOUND.total_seconds()):
+            self.move_wanted = True  # the writer has the lock and says the farewell itself
+            return True
+        with self.lock_held():
+            if self.moved or self.over.is_set():
+                return False
+            if not (self.started and self.from_upstream.between()):
+                self.move_wanted = True
+                return True
+            self._farewell()
+            return True
+
+    def lock_held(self) -> _Held:
+        return _Held(self.lock)
+
+    def _farewell(self) -> None:
+        self.moved = True
+        try:
+            sockets.write(self.downstream, [self.farewell])
+        except OSError:
+            self.reset_down = True
+        sockets.wake(self.upstream)
+        sockets.wake(self.downstream)
+
+    def mute_for(self) -> timedelta:
+        """For how long a message has gone unanswered."""
+        try:
+            return now() - self.asked[0]
+        except IndexError:
+            return NOTHING
+
+
+@dataclass(slots=True)
+class _Held:
+    """Releases a lock that was acquired with a time-out."""
+
+    lock: threading.Lock
+
+    def __enter__(self) -> None: ...
+
+    def __exit__(self, *_: object) -> None:
+        self.lock.release()
+
+
+@dataclass(slots=True)
+class _Seen:
+    """What is known of one upstream host's delay."""
+
+    least: timedelta
+    noted: timedelta = NOTHING
+    high: bool = False
+
+
+class Delays:
+    """Turns the time that answers take into notes: once a second and host while it is over the threshold,
+    and once more when it is back under. The way there and back, the least time seen, is no delay."""
+
+    def __init__(self, threshold: timedelta, note: Callable[[Standing, timedelta], None]) -> None:
+        self._threshold = threshold
+        self._note = note
+        self._lock = threading.Lock()
+        self._hosts: dict[str, _Seen] = {}
+
+    def seen(self, standing: Standing, took: timedelta, answered: bool = True) -> None:
+        with self._lock:
+            host = self._hosts.setdefault(standing.host, _Seen(took))
+            if answered:
+                host.least = min(host.least, took)
+            delay = took - host.least
+            high = delay > self._threshold
+            # An answer that is still out proves a delay, never its end.
+            if not (high or (host.high and answered)) or now() - host.noted < NOTE_EVERY:
+                return
+            host.high, host.noted = high, now()
+        self._note(standing, delay)
+
+
+class Connections:
+    """All standing connections, and the two threads that look after them."""
+
+    def __init__(self, on_mute: Callable[[Standing, timedelta], None]) -> None:
+        self._lock = threading.Lock()
+        self._all: dict[str, Standing] = {}
+        self._moves: SimpleQueue[str] = SimpleQueue()
+        self._on_mute = on_mute
+        self._stop = threading.Event()
+
+    def start(self) -> None:
+        for run in (self._run_moves, self._run_watch):
+            threading.Thread(target=run, name=run.__name__, daemon=True).start()
+
+    def add(self, standing: Standing) -> None:
+        with self._lock:
+            self._all[standing.id] = standing
+
+    def remove(self, standing: Standing) -> None:
+        with self._lock:
+            self._all.pop(standing.id, None)
+
+    def all(self) -> list[Standing]:
+        with self._lock:
+            return list(self._all.values())
+
+    def move(self, name: str) -> None:
+        self._moves.put(name)  # a slow downstream must not hold up the thread that brought the news
+
+    def _run_moves(self) -> None:
+        while True:
+            name = self._moves.get()
+            with self._lock:
+                standing = self._all.get(name)
+            if standing is not None:
+                standing.move()
+
+    def _run_watch(self) -> None:
+        while not self._stop.wait(WATCH_EVERY.total_seconds()):
+            for standing in self.all():
+                mute = standing.mute_for()
+                if mute > WATCH_EVERY:
+                    self._on_mute(standing, mute)
--- /dev/null
+++ b/bramblestile/memory/decisions.py
@@ -0,0 +1,133 @@
+"""The decision module behind one lock, its timers, and its actions handed to the thread they concern.
+
+This is the one seam between spans and the module's microseconds. No socket is touched under the lock.
+"""
+
+from __future__ import annotations
+
+import heapq
+import sys
+import threading
+import traceback
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+from queue import Empty, SimpleQueue
+
+from bramblestile.clock import MICROSECOND, now
+from bramblestile.memory.cluster import Cluster, UpstreamHost
+from bramblestile.memory.counters import Counters
+from vanegw import Balancer
+from vanegw import interface as api
+
+Choice = api.Attempt | api.Refuse | api.Fail
+LAST_WAIT = timedelta(milliseconds=100)  # past its deadline a request waits hardly longer for the module
+
+
+def micros(span: timedelta) -> int:
+    return span // MICROSECOND
+
+
+def span(micros_: int) -> timedelta:
+    return timedelta(microseconds=micros_)
+
+
+def backend(host: UpstreamHost) -> api.Backend:
+    return api.Backend(host.id, host.zone, host.cell, host.weight,
+                       None if host.born is None else micros(host.born), host.kind, host.state)
+
+
+class Visit:
+    """One request's place in the decisions: the module's choices for it come in here, in order."""
+
+    def __init__(self, name: str, deadline: timedelta) -> None:
+        self.id = name
+        self.deadline = deadline
+        self.choices: SimpleQueue[Choice] = SimpleQueue()
+
+    def next(self) -> Choice:
+        """What the module chooses next. Were it silent, the answer would still be owed: failed."""
+        try:
+            return self.choices.get(timeout=max(self.deadline - now(), LAST_WAIT).total_seconds())
+        except Empty:
+            return api.Fail(self.id)
+
+
+class Decisions:
+    def __init__(self, settings: api.Settings, seed: int, cluster: Cluster, counters: Counters) -> None:
+        self._balancer = Balancer(settings, seed)
+        self._cluster = cluster
+        self._counters = counters
+        self._lock = threading.Lock()
+        self._due = threading.Condition(threading.Lock())
+        self._timers: list[tuple[timedelta, int, str]] = []
+        self._set = 0
+        self._visits: dict[str, Visit] = {}
+        # Set by the start: what to do, outside the lock, with the actions that concern no request.
+        self.on_probe: Callable[[str], None] = lambda host: None
+        self.on_move: Callable[[str], None] = lambda connection: None
+        self.on_subscribe: Callable[[], None] = lambda: None
+
+    def start(self) -> None:
+        threading.Thread(target=self._run_timers, name="timers", daemon=True).start()
+
+    def admit(self, request: api.Request, deadline: timedelta) -> Visit:
+        visit = Visit(request.id, deadline)
+        with self._lock:
+            self._visits[request.id] = visit
+        self.tell(request)
+        return visit
+
+    def release(self, visit: Visit) -> None:
+        with self._lock:
+            self._visits.pop(visit.id, None)
+
+    def list(self, mode: api.ListMode, hosts: Sequence[UpstreamHost]) -> None:
+        """News of the cluster. The addresses come first: the module may choose a new host at once."""
+        if mode is not api.ListMode.UNAVAILABLE:
+            self._cluster.apply(mode, hosts)
+        self.tell(api.BackendList(mode, tuple(backend(h) for h in hosts)))
+
+    def tell(self, event: api.Event) -> None:
+        later: list[api.Action] = []
+        with self._lock:
+            try:
+                actions = self._balancer.handle(micros(now()), event)
+            except Exception:
+                # A fault in a decision must not end the thread that brought the event: it may hold a client.
+                self._counters.add("decision_faults")
+                traceback.print_exc()
+                return
+            for action in actions:
+                if isinstance(action, (api.Attempt, api.Refuse, api.Fail)):
+                    visit = self._visits.get(action.id)
+                    if visit is not None:
+                        visit.choices.put(action)
+                else:
+                    later.append(action)
+        for action in later:
+            self._carry_out(action)
+
+    def _carry_out(self, action: api.Action) -> None:
+        if isinstance(action, api.SetTimer):
+            with self._due:
+                self._set += 1
+                heapq.heappush(self._timers, (now() + span(action.after_us), self._set, action.token))
+                self._due.notify()
+        elif isinstance(action, api.Probe):
+            self.on_probe(action.backend)
+        elif isinstance(action, api.Move):
+            self.on_move(action.id)
+        elif isinstance(action, api.Subscribe):
+            self.on_subscribe()
+        elif isinstance(action, api.Log):
+            print(f"module: {action.text}", file=sys.stderr, flush=True)
+        # A Cancel needs nothing: the request's own thread has seen the downstream leave and ends the attempt.
+
+    def _run_timers(self) -> None:
+        while True:
+            with self._due:
+                while not self._timers or self._timers[0][0] > now():
+                    left = self._timers[0][0] - now() if self._timers else None
+                    self._due.wait(None if left is None else max(0.0, left.total_seconds()))
+                token = heapq.heappop(self._timers)[2]
+            self.tell(api.TimerFired(token))
--- /dev/null
+++ b/bramblestile/process/config.py
@@ -0,0 +1,156 @@
+"""The one place where configuration is read, checked and given defaults. Messages name the faulty key.
+
+The platform gives a JSON file ($EDGE_CONFIG), an operator a TOML file; both hold the same keys. The file
+named on the command line is laid over the platform's, so it can add fronts to what the platform says.
+"""
+
+from __future__ import annotations
+
+import json
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from bramblestile.memory.cluster import UpstreamHost
+from bramblestile.wire import discovery
+from bramblestile.wire.sockets import Address
+from vanegw import interface as api
+from vanegw import wire as settings_form
+
+CONNECT_WITHIN = timedelta(milliseconds=250)
+PROBE_WITHIN = timedelta(milliseconds=500)
+
+
+class ConfigError(Exception):
+    """The text names the faulty key."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: Address | None  # the platform's front; None: off
+    discovery: Address | None  # None: the list in the file is all there is
+    seed: int
+    known_version: int
+    known: tuple[UpstreamHost, ...]
+    settings: api.Settings
+    connect_within: timedelta = CONNECT_WITHIN
+    probe_within: timedelta = PROBE_WITHIN
+    extra: Mapping[str, Any] = field(default_factory=dict)
+
+
+class Section:
+    """A table of the configuration that knows its own name, for the messages."""
+
+    def __init__(self, values: Any, path: str = "") -> None:
+        if not isinstance(values, Mapping):
+            raise ConfigError(f"{path or 'configuration'}: {values!r} is not a table")
+        self.values, self.path = values, path
+
+    def key(self, name: str) -> str:
+        return f"{self.path}.{name}" if self.path else name
+
+    def has(self, name: str) -> bool:
+        return self.values.get(name) is not None
+
+    def text(self, name: str, default: str | None = None) -> str:
+        value = self.values.get(name, default)
+        if not isinstance(value, str) or not value:
+            raise ConfigError(f"{self.key(name)}: {value!r} is not text")
+        return value
+
+    def number(self, name: str, default: float, low: float = 0) -> float:
+        value = self.values.get(name, default)
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not low <= value < 1e15:
+            raise ConfigError(f"{self.key(name)}: {value!r} is not a number of at least {low}")
+        return value
+
+    def integer(self, name: str, default: int, low: int = 0) -> int:
+        value = self.number(name, default, low)
+        if int(value) != value:
+            raise ConfigError(f"{self.key(name)}: {value!r} is not a whole number")
+        return int(value)
+
+    def micros(self, name: str, default: timedelta, low: int = 1) -> timedelta:
+        return timedelta(microseconds=self.integer(name, default // timedelta(microseconds=1), low))
+
+    def address(self, name: str) -> Address:
+        try:
+            return discovery.address(self.text(name))
+        except ValueError as error:
+            raise ConfigError(f"{self.key(name)}: {error}") from None
+
+    def section(self, name: str) -> Section:
+        return Section(self.values.get(name) or {}, self.key(name))
+
+
+def _seed(top: Section) -> int:
+    value = top.text("seed", "0")
+    try:
+        return int(value, 16)
+    except ValueError:
+        raise ConfigError(f"seed: {value!r} is not a hexadecimal number") from None
+
+
+def _settings(top: Section) -> api.Settings:
+    if not top.has("settings"):
+        raise ConfigError("settings: missing")
+    try:
+        made, _ = settings_form.settings(dict(top.section("settings").values))
+    except (settings_form.WireError, ValueError) as error:
+        raise ConfigError("settings: " + str(error).removeprefix("setup: ")) from None
+    return made
+
+
+def read(values: Mapping[str, Any], environment: Mapping[str, str] | None = None) -> Config:
+    """The checked configuration. The platform's variables fill in what the file leaves out."""
+    named = {"name": "EDGE_NAME", "listen": "EDGE_LISTEN", "discovery": "EDGE_DISCOVERY"}
+    given = {key: environment[var] for key, var in named.items() if environment and var in environment}
+    top = Section({**given, **values})
+    known = top.section("known")
+    try:
+        hosts = tuple(discovery.hosts(known.values.get("hosts", [])))
+    except ValueError as error:
+        raise ConfigError(f"known.hosts: {error}") from None
+    limits = top.section("settings").section("limits")
+    spans = top.section("spans")
+    return Config(
+        name=top.text("name", "bramblestile"),
+        listen=top.address("listen") if top.has("listen") else None,
+        discovery=top.address("discovery") if top.has("discovery") else None,
+        seed=_seed(top),
+        known_version=known.integer("seq", 0),
+        known=hosts,
+        settings=_settings(top),
+        connect_within=limits.micros("connect_timeout_us", CONNECT_WITHIN),
+        probe_within=spans.micros("probe_us", PROBE_WITHIN),
+        extra=top.values,
+    )
+
+
+def load(arguments: list[str], environment: Mapping[str, str]) -> Config:
+    """From $EDGE_CONFIG and the operator's file named on the command line."""
+    values: dict[str, Any] = {}
+    if environment.get("EDGE_CONFIG"):
+        values.update(_parse(Path(environment["EDGE_CONFIG"])))
+    if len(arguments) > 1:
+        raise ConfigError(f"command line: one file at most, not {arguments!r}")
+    if arguments:
+        values.update(_parse(Path(arguments[0])))
+    if not values:
+        raise ConfigError("EDGE_CONFIG: not set, and no file is named on the command line")
+    return read(values, environment)
+
+
+def _parse(path: Path) -> dict[str, Any]:
+    try:
+        raw = path.read_bytes()
+        got = tomllib.loads(raw.decode()) if path.suffix == ".toml" else json.loads(raw)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path.name}: {error}") from None
+    if not isinstance(got, dict):
+        raise ConfigError(f"{path.name}: not a table")
+    return got
--- /dev/null
+++ b/bramblestile/process/listeners.py
@@ -0,0 +1,77 @@
+"""Listening sockets: one thread accepts, and one thread lives each downstream's life."""
+
+from __future__ import annotations
+
+import socket
+import sys
+import threading
+import time
+import traceback
+from collections.abc import Callable
+
+from bramblestile.memory.counters import Counters
+from bramblestile.wire import sockets
+from bramblestile.wire.sockets import Address
+
+BACKLOG = 1024
+Serve = Callable[[socket.socket], None]
+
+
+class Listener:
+    def __init__(self, address: Address, serve: Serve, counters: Counters, name: str) -> None:
+        self._serve = serve
+        self._counters = counters
+        self._name = name
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.bind(address)
+        self._sock.listen(BACKLOG)
+        self.address: Address = self._sock.getsockname()[:2]
+        self._idle = threading.Condition()
+        self.busy = 0  # downstreams taken and not yet over
+
+    def start(self) -> None:
+        threading.Thread(target=self._accept, name="accept " + self._name, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._sock.accept()
+            except OSError as error:
+                if self._sock.fileno() < 0:
+                    return
+                # Out of descriptors, or the downstream left before we came: neither may end the listener.
+                self._counters.add("accept_failed")
+                print(f"{self._name}: accept: {error}", file=sys.stderr, flush=True)
+                time.sleep(0.01)
+                continue
+            self._counters.add(f"{self._name}_accepted")
+            with self._idle:
+                self.busy += 1
+            try:
+                threading.Thread(target=self._run, args=(sock,), name=self._name, daemon=True).start()
+            except RuntimeError:  # no thread to be had
+                self._counters.add("no_thread")
+                self._done(sock)
+
+    def _run(self, sock: socket.socket) -> None:
+        try:
+            sockets.tune(sock)
+            self._serve(sock)
+        except OSError:
+            self._counters.add("downstream_broke")
+        except Exception:
+            self._counters.add("faults")
+            traceback.print_exc()
+        finally:
+            self._done(sock)
+
+    def _done(self, sock: socket.socket) -> None:
+        sock.close()
+        with self._idle:
+            self.busy -= 1
+            self._idle.notify_all()
+
+    def stop(self) -> None:
+        sockets.wake(self._sock)
+        self._sock.close()
--- /dev/null
+++ b/bramblestile/wire/lines.py
@@ -0,0 +1,240 @@
+"""The platform's line protocol: its first line, its answers, its probes, and how its lines pass."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass
+from datetime import timedelta
+
+from bramblestile.clock import MICROSECOND, NOTHING, milliseconds, now
+from bramblestile.dialect import Answer, Asked, CanSend, NotUp, Up
+from bramblestile.memory.connections import Kind, Message, Standing
+from bramblestile.wire import sockets
+from bramblestile.wire.sockets import Address, LineReader, text
+from vanegw.interface import Report, Status
+
+LONGEST = 4096  # bytes of one line with its ending
+MOVE = b"MOVE\r\n"
+PONG = b"PONG\r\n"
+FAILED = b"ERR\r\n"
+# The answer's way back to the downstream takes time too: it must come before the downstream gives up.
+WAY_BACK = timedelta(milliseconds=15)
+OUTCOMES = {"BYE": Status.SERVED, "MOVE": Status.CANCELLED, "ERR": Status.ERROR, "BUSY": Status.NO_ROOM}
+REPORT_FIELDS = {
+    "x0": "load", "util": "utilisation", "busy": "utilisation", "queue": "queue", "q": "queue",
+    "inflight": "inflight", "rif": "inflight", "x1": "backlog_s", "latency_ms": "latency_ms",
+    "lat_ms": "latency_ms", "qps": "rate", "rate": "rate", "eps": "error_rate", "fail_rate": "error_rate",
+}
+
+
+class MalformedError(Exception):
+    """A first line that the protocol does not know."""
+
+
+@dataclass(slots=True, frozen=True)
+class Head:
+    """A first line, kept as it came, and where in it the value of ``d`` stands."""
+
+    line: bytes
+    d_start: int
+    d_end: int
+
+    def parts(self, wait: timedelta) -> list[bytes | memoryview]:
+        """The line for the upstream host: unchanged but for how long the balancer will wait."""
+        if self.d_start == self.d_end:
+            return [self.line]
+        view = memoryview(self.line)
+        return [view[:self.d_start], b"%d" % max(1, milliseconds(wait)), view[self.d_end:]]
+
+
+def parse_open(line: memoryview) -> tuple[Asked, Head]:
+    """``OPEN ID KEY NAME=VALUE,...``; names that are not known are passed on and ignored."""
+    raw = bytes(line)
+    words = raw.rstrip(b"\r\n").split(b" ")
+    if len(words) != 4 or words[0] != b"OPEN" or not words[1]:
+        raise MalformedError("not OPEN ID KEY LIST")
+    values: dict[str, str] = {}
+    at = len(raw.rstrip(b"\r\n")) - len(words[3])
+    d_start = d_end = 0
+    for pair in words[3].split(b","):
+        name, _, value = pair.partition(b"=")
+        if name == b"d":
+            d_start, d_end = at + 2, at + len(pair)
+        values[str(name, "ascii", "replace")] = str(value, "ascii", "replace")
+        at += len(pair) + 1
+    try:
+        wait = timedelta(milliseconds=int(values["d"]))
+        group = int(values["g"], 16) if values.get("g") else None
+        hint = float(values["h"]) if values.get("h") else None
+        key = int(words[2], 16) if words[2] else None
+    except (KeyError, ValueError, OverflowError) as error:
+        raise MalformedError(str(error)) from None
+    asked = Asked(str(words[1], "ascii", "replace"), values.get("c", ""), wait - WAY_BACK, values.get("t"),
+                  key, group, hint, values.get("r") == "1", values.get("again") == "1", values.get("at"))
+    return asked, Head(raw, d_start, d_end)
+
+
+def parse_report(words: str) -> Report | None:
+    """``x0=0.61,queue=2``: the fields that are known; None when there is none."""
+    got: dict[str, float] = {}
+    for pair in words.split(","):
+        name, _, value = pair.partition("=")
+        if name in REPORT_FIELDS:
+            try:
+                got[REPORT_FIELDS[name]] = float(value)
+            except ValueError:
+                continue
+    return Report(**got) if got else None
+
+
+class LineFramer:
+    """Passes whole lines on. ``meanings`` tells what the first word of a line stands for."""
+
+    def __init__(self, meanings: dict[bytes, Kind], other: Kind) -> None:
+        self._meanings = meanings
+        self._other = other
+        self._whole = True
+
+    def feed(self, data: memoryview) -> tuple[int, list[Message]]:
+        raw = bytes(data)
+        passed = raw.rfind(b"\n") + 1
+        messages = []
+        for line in raw[:passed].splitlines():
+            word, _, rest = line.partition(b" ")
+            kind = self._meanings.get(word, self._other)
+            messages.append(Message(kind, _number(rest) if kind is Kind.LOAD else 0.0))
+        return passed, messages
+
+    def between(self) -> bool:
+        return True  # only whole lines go on
+
+
+class PlainFramer:
+    """Passes everything on at once; counts the lines that end."""
+
+    def feed(self, data: memoryview) -> tuple[int, list[Message]]:
+        return len(data), [Message(Kind.ASK)] * bytes(data).count(b"\n")
+
+    def between(self) -> bool:
+        return True
+
+
+FROM_UPSTREAM = {b"LOAD": Kind.LOAD, b"BYE": Kind.LAST, b"MOVE": Kind.AWAY}
+
+
+def _number(value: bytes) -> float:
+    try:
+        return float(value)
+    except ValueError:
+        return float("nan")
+
+
+class LineDownstream:
+    """One client of the platform, whose first line has been read."""
+
+    def __init__(self, sock: socket.socket, reader: LineReader, asked: Asked, head: Head) -> None:
+        self._sock = sock
+        self._reader = reader
+        self._asked = asked
+        self._head = head
+
+    def has_left(self) -> bool:
+        return sockets.has_left(self._sock)
+
+    def refuse(self, come_back: timedelta) -> None:
+        ms = milliseconds(come_back)
+        self._reply(b"BUSY %d\r\n" % ms if ms > 0 else b"BUSY\r\n")
+
+    def fail(self) -> None:
+        self._reply(FAILED)
+
+    def _reply(self, line: bytes) -> None:
+        try:
+            sockets.write(self._sock, [line])
+        finally:
+            sockets.close(self._sock)
+
+    def upstream_request(self, address: Address, until: timedelta, connect_within: timedelta,
+                         may_send: CanSend) -> Answer:
+        try:
+            upstream = sockets.dial(address, min(connect_within, until - now()))
+        except OSError:
+            return NotUp(Status.NO_ROUTE)
+        answer: Answer | None = None
+        try:
+            answer = self._ask(upstream, until, may_send)
+            return answer
+        finally:
+            if not isinstance(answer, Up):
+                sockets.close(upstream)
+
+    def _ask(self, upstream: socket.socket, until: timedelta, may_send: CanSend) -> Answer:
+        # A host that began to drain while we dialled must not get the request.
+        if not may_send():
+            return NotUp(Status.NO_ROUTE)
+        try:
+            sockets.write(upstream, self._head.parts(until - now()))
+        except OSError:
+            return NotUp(Status.NO_ROUTE)  # broke before the last byte was written: it never ran
+        reader = LineReader(upstream, LONGEST)
+        try:
+            line = reader.line(max(until - now(), NOTHING), beside=self._sock)
+        except TimeoutError:
+            return NotUp(Status.TIMED_OUT)
+        except InterruptedError:
+            return NotUp(Status.CANCELLED, downstream_left=True)
+        except (OSError, sockets.OverlongError):
+            return NotUp(Status.CUT)
+        if line is None:
+            return NotUp(Status.CUT)
+        word = text(line).partition(" ")[0]
+        if word != "UP":
+            return NotUp(OUTCOMES.get(word, Status.ERROR))
+        return Up(Standing(
+            self._asked.id, "", self._sock, upstream, MOVE, LineFramer(FROM_UPSTREAM, Kind.ANSWER),
+            PlainFramer(), first_up=self._reader.rest(), first_down=bytes(line) + reader.rest()))
+
+
+class Prober:
+    """The load of one upstream host, asked over a connection that is kept while it lasts."""
+
+    def __init__(self) -> None:
+        self._sock: socket.socket | None = None
+        self._reader: LineReader | None = None
+
+    def ask(self, address: Address, within: timedelta) -> tuple[Status, Report | None]:
+        until = now() + within
+        kept = self._sock is not None
+        status, report = self._once(address, until)
+        if kept and status in (Status.CUT, Status.NO_ROUTE):
+            # An idle connection that the host had closed says nothing of the host's health.
+            status, report = self._once(address, until)
+        return status, report
+
+    def _once(self, address: Address, until: timedelta) -> tuple[Status, Report | None]:
+        try:
+            if self._sock is None:
+                self._sock = sockets.dial(address, until - now())
+                self._reader = LineReader(self._sock, LONGEST)
+            sockets.write(self._sock, [b"STATS\r\n"])
+        except OSError:
+            self.close()
+            return Status.NO_ROUTE, None
+        assert self._reader is not None
+        try:
+            line = self._reader.line(max(until - now(), MICROSECOND))
+        except TimeoutError:
+            self.close()  # a late answer must not be taken for the next one's
+            return Status.TIMED_OUT, None
+        except (OSError, sockets.OverlongError):
+            line = None
+        if line is None:
+            self.close()
+            return Status.CUT, None
+        word, _, rest = text(line).partition(" ")
+        return (Status.SERVED, parse_report(rest)) if word == "PONG" else (Status.ERROR, None)
+
+    def close(self) -> None:
+        if self._sock is not None:
+            sockets.close(self._sock)
+        self._sock = self._reader = None
--- /dev/null
+++ b/bramblestile/wire/probes.py
@@ -0,0 +1,62 @@
+"""One thread for each upstream host that asks for its load when told to; a silent host delays no other."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from datetime import timedelta
+from queue import Empty, SimpleQueue
+
+from bramblestile.clock import MICROSECOND, now
+from bramblestile.memory.cluster import Cluster
+from bramblestile.memory.counters import Counters
+from bramblestile.wire.sockets import Address
+from vanegw.interface import ProbeResult, Report, Status
+
+IDLE = timedelta(seconds=30)  # a host that nobody asks about gives its thread and connection back
+Ask = Callable[[Address, timedelta], tuple[Status, Report | None]]
+
+
+class Probes:
+    def __init__(self, cluster: Cluster, make: Callable[[], tuple[Ask, Callable[[], None]]],
+                 within: timedelta, tell: Callable[[ProbeResult], None], counters: Counters) -> None:
+        self._cluster = cluster
+        self._make = make
+        self._within = within
+        self._tell = tell
+        self._counters = counters
+        self._lock = threading.Lock()
+        self._queues: dict[str, SimpleQueue[None]] = {}
+
+    def ask(self, host: str) -> None:
+        with self._lock:
+            queue = self._queues.get(host)
+            if queue is None:
+                queue = self._queues[host] = SimpleQueue()
+                threading.Thread(target=self._run, args=(host, queue), name=host, daemon=True).start()
+            queue.put(None)
+
+    def _run(self, name: str, queue: SimpleQueue[None]) -> None:
+        ask, close = self._make()
+        address = None
+        while True:
+            try:
+                queue.get(timeout=IDLE.total_seconds())
+            except Empty:
+                with self._lock:
+                    if queue.empty():
+                        del self._queues[name]
+                        close()
+                        return
+                continue
+            host = self._cluster.find(name)
+            sent = now()
+            if host is None:  # nothing is sent to a host that is no longer listed
+                self._tell(ProbeResult(name, Status.NOT_SENT, 0))
+                continue
+            if address not in (None, host.address):
+                close()
+            address = host.address
+            status, report = ask(address, self._within)
+            self._counters.add(f"probes_{status.name.lower()}")
+            self._tell(ProbeResult(name, status, (now() - sent) // MICROSECOND, report))
--- /dev/null
+++ b/bramblestile/wire/sockets.py
@@ -0,0 +1,150 @@
+"""Blocking sockets with bounds: dialling, gathered writes, reading lines in place, endings as they came."""
+
+from __future__ import annotations
+
+import contextlib
+import select
+import socket
+import struct
+from collections.abc import Sequence
+from datetime import timedelta
+
+from bramblestile.clock import MICROSECOND, NOTHING, milliseconds, now
+
+Address = tuple[str, int]
+READABLE = select.POLLIN
+WRITE_BOUND = timedelta(seconds=3)  # a peer that reads nothing for so long is given up
+_NO_LINGER = struct.pack("ii", 1, 0)
+
+
+class OverlongError(Exception):
+    """A line exceeds the reader's buffer."""
+
+
+def _timeval(span: timedelta) -> bytes:
+    return struct.pack("ll", span // timedelta(seconds=1), span % timedelta(seconds=1) // MICROSECOND)
+
+
+def tune(sock: socket.socket) -> None:
+    """Blocking, without Nagle, and with bounded writes (SO_SNDTIMEO leaves reads unbounded)."""
+    sock.settimeout(None)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, _timeval(WRITE_BOUND))
+
+
+def dial(address: Address, within: timedelta) -> socket.socket:
+    """A connection made within the span, or OSError."""
+    sock = socket.create_connection(address, timeout=max(within, MICROSECOND * 1000).total_seconds())
+    tune(sock)
+    return sock
+
+
+def write(sock: socket.socket, parts: Sequence[bytes | memoryview]) -> None:
+    """One gathered write of all parts; OSError when the peer reads nothing within the bound."""
+    left = [memoryview(p) for p in parts if len(p)]
+    until = now() + WRITE_BOUND
+    while left:
+        sent = sock.sendmsg(left)
+        while left and sent >= len(left[0]):
+            sent -= len(left.pop(0))
+        if left:
+            left[0] = left[0][sent:]
+            if now() >= until:
+                raise TimeoutError("the peer reads nothing")
+
+
+def has_left(sock: socket.socket) -> bool:
+    """The peer has ended its side or reset the connection; nothing is read."""
+    return wait((sock, select.POLLRDHUP), within=NOTHING) is sock
+
+
+def wait(*sides: tuple[socket.socket, int], within: timedelta) -> socket.socket | None:
+    """The first of these sockets, in this order, on which its event comes within the span."""
+    poll = select.poll()
+    for sock, events in sides:
+        if sock.fileno() < 0:
+            return sock
+        poll.register(sock, events)
+    # Rounded up: a wait that ends a fraction early would turn into a busy loop at its end.
+    ready = {fd for fd, _ in poll.poll(max(0, milliseconds(within + timedelta(microseconds=999))))}
+    return next((sock for sock, _ in sides if sock.fileno() in ready), None)
+
+
+def wake(sock: socket.socket, how: int = socket.SHUT_RDWR) -> None:
+    """Ends a socket so that every thread blocked on it returns."""
+    with contextlib.suppress(OSError):
+        sock.shutdown(how)
+
+
+def close(sock: socket.socket, reset: bool = False) -> None:
+    """Closes with FIN, or with RST. What lies unread is read first: closing over it would send RST."""
+    with contextlib.suppress(OSError):
+        if reset:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        else:
+            wake(sock, socket.SHUT_WR)
+            sock.setblocking(False)
+            for _ in range(16):
+                if not sock.recv(65536):
+                    break
+    sock.close()
+
+
+class LineReader:
+    """Reads lines into one buffer and hands them out in place, as views that hold until the next read."""
+
+    def __init__(self, sock: socket.socket, size: int = 4096) -> None:
+        self.sock = sock
+        self.buffer = bytearray(size)
+        self.view = memoryview(self.buffer)
+        self.start = self.end = 0
+
+    def line(self, within: timedelta | None = None, beside: socket.socket | None = None) -> memoryview | None:
+        """The next line with its ending; None at the peer's end. TimeoutError when the span is over,
+        InterruptedError when ``beside`` ends first."""
+        until = None if within is None else now() + within
+        searched = self.start
+        while True:
+            found = self.buffer.find(b"\n", searched, self.end)
+            if found >= 0:
+                line = self.view[self.start:found + 1]
+                self.start = found + 1
+                return line
+            searched = self.end
+            if self.end == len(self.buffer):
+                if self.start == 0:
+                    raise OverlongError
+                kept = self.end - self.start
+                self.buffer[:kept] = self.buffer[self.start:self.end]
+                self.start, self.end, searched = 0, kept, kept
+            if until is not None:
+                self._wait(until - now(), beside)
+            got = self.sock.recv_into(self.view[self.end:])
+            if got == 0:
+                return None
+            self.end += got
+
+    def _wait(self, left: timedelta, beside: socket.socket | None) -> None:
+        sides = [(self.sock, select.POLLIN)] + ([(beside, select.POLLRDHUP)] if beside else [])
+        ready = wait(*sides, within=left) if left > NOTHING else None
+        if ready is None:
+            raise TimeoutError
+        if ready is beside:
+            raise InterruptedError
+
+    def take(self, into: memoryview) -> int:
+        """Moves what was read beyond the last line into the view, as far as it fits."""
+        size = min(self.end - self.start, len(into))
+        into[:size] = self.view[self.start:self.start + size]
+        self.start += size
+        return size
+
+    def rest(self) -> bytes:
+        """What was read beyond the last line handed out."""
+        got = bytes(self.view[self.start:self.end])
+        self.start = self.end = 0
+        return got
+
+
+def text(view: memoryview) -> str:
+    return str(view, "ascii", "replace").rstrip("\r\n")
--- a/vanegw/interface.py
+++ b/vanegw/interface.py
@@ -63,10 +63,12 @@
 
 
 class NoteKind(Enum):
-    """LOAD: the connection's load now (us of work a second). DELAY: ms a message takes at the backend."""
+    """LOAD: the connection's load now (us of work a second). DELAY: ms a message takes at the backend.
+    SILENCE: ms for which the backend has returned nothing on this connection, though it was asked to."""
 
     LOAD = 1
     DELAY = 2
+    SILENCE = 3
 
 
 def _check(ok: bool, name: str, value: object) -> None:
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -37,6 +37,7 @@
 DOUBT_SHARE = 0.9  # when more of the sampled fleet than this looks bad, the evidence is doubted instead
 SLOW_LIFE_US = 2_500_000  # slow notes come once a second: two missed and the backend is believed well again
 WORK_OFF_S = 1.0  # a backlog should be worked off within this time: until then nothing is earned there
+MUTE_MS = 4000.0  # a connection that has returned nothing for so long is moved
 MOVE_TARGET = 0.85  # a backend whose messages miss their aim sheds what it holds down to this load
 MOVE_EAGERNESS = 0.12  # load that a delay of one message aim counts for: a move costs less than a backlog
 PRESSURE = 0.6  # average load from which a tenant is held to its share
@@ -114,6 +115,8 @@
                 self.table_at = None
             else:
                 known.info = info
+                for request in list(known.open) if info.state is State.DRAINING else ():
+                    self._leave(request)  # a client is told to move before its backend leaves
         if event.mode is ListMode.RESTORED and self.settings.list_on_request:
             self._ask_in(ASK_SPREAD_US)
 
@@ -329,6 +332,10 @@
 
     def _on_note(self, event: api.Note) -> None:
         known, flight = self.backends.get(event.backend), self.flights.get(event.id)
+        if flight is not None and event.kind is NoteKind.SILENCE and event.value >= MUTE_MS:
+            # Nothing comes back on it: wherever it stood, the client is better off elsewhere.
+            self._leave(event.id)
+            return
         if known is None or flight is None or event.kind is not NoteKind.DELAY or not _sane(event.value):
             return
         aim_s, delay_s, since = flight.cls.message_aim_us / 1e6, event.value / 1000, self.now - known.delay_at
@@ -345,8 +352,12 @@
         part = room * (1 - MOVE_TARGET / load)
         for request in list(known.open):
             if self.random.random() < part:
-                self._drop(request)
-                self.actions.append(api.Move(request))
+                self._leave(request)
+
+    def _leave(self, request: str) -> None:
+        """Moves a standing connection: its client is told and comes back as a new request."""
+        self._drop(request)
+        self.actions.append(api.Move(request))
 
     def _on_outcome(self, event: api.Outcome) -> None:
         known, flight = self.backends.get(event.backend), self.flights.get(event.id)
