Add the NATS front, an operator's file for it, and a scenario language for both wires

Both fronts share the life of a request, the module and its rules; each has a cluster of its own. The same scenarios run on both wires: served, refused, failed, every outcome, leaving clients, drains, mute hosts, moves between messages, cold hosts. Only the NATS front: INFO, CONNECT, verbose, split and joined reads, limits, ldm. Seen in a test: a host that ran again after a drain was not drawn until the next rebuild of the table, up to 2 s later; the table is now made anew when a state changes (vanegw/rules.py, _on_list).

--- a/bramblestile/dialect.py
+++ b/bramblestile/dialect.py
@@ -40,6 +40,7 @@
 
     status: Status
     downstream_left: bool = False
+    host_drains: bool = False  # the upstream host said so itself
 
 
 Answer = Up | NotUp
--- a/bramblestile/life.py
+++ b/bramblestile/life.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from datetime import timedelta
 
 from bramblestile.clock import NOTHING, now
@@ -18,13 +19,14 @@
     """What every request's life needs, made once at the start."""
 
     def __init__(self, decisions: Decisions, cluster: Cluster, connections: Connections, counters: Counters,
-                 observer: Observer, connect_within: timedelta) -> None:
+                 observer: Observer, connect_within: timedelta, drains: Callable[[str], None]) -> None:
         self.decisions = decisions
         self.cluster = cluster
         self.connections = connections
         self.counters = counters
         self.observer = observer
         self.connect_within = connect_within
+        self.drains = drains  # an upstream host has said itself that it drains
 
 
 def live(house: House, downstream: Downstream, asked: Asked) -> None:
@@ -59,6 +61,8 @@
             took = micros(now() - sent)
             if isinstance(answer, NotUp):
                 count(f"upstream_{answer.status.name.lower()}")
+                if answer.host_drains:
+                    house.drains(choice.backend)
                 if answer.downstream_left:
                     count("downstream_left")
                     house.decisions.tell(api.ClientGone(asked.id))
--- a/bramblestile/memory/connections.py
+++ b/bramblestile/memory/connections.py
@@ -16,7 +16,7 @@
 from bramblestile.wire import sockets
 from vanegw.interface import Status
 
-MOST = 65536  # bytes passed on at once
+MOST = 8192  # bytes passed on at once
 LAST_WORD = timedelta(seconds=1)  # after the downstream's end, for the upstream host to end too
 MOVE_BOUND = timedelta(milliseconds=500)  # a move waits so long for a message in passing to be whole
 WATCH_EVERY = timedelta(milliseconds=250)
@@ -41,6 +41,14 @@
     value: float = 0.0
 
 
+class ViolationError(Exception):
+    """A message that may not pass; ``reply`` tells the downstream why before its connection ends."""
+
+    def __init__(self, reply: bytes) -> None:
+        super().__init__(reply)
+        self.reply = reply
+
+
 class Framer(Protocol):
     """Follows one direction. It never changes a byte; it knows where messages end and what they mean."""
 
@@ -79,6 +87,7 @@
     moved: bool = False
     started: bool = False  # the downstream has its first answer: only then can it be told to move
     move_wanted: bool = False
+    refused: bool = False  # the downstream broke its protocol and was told so
     last: Kind = Kind.OTHER
     reset_down: bool = False  # the downstream's side broke
     reset_up: bool = False
@@ -99,14 +108,14 @@
                 sockets.wake(self.downstream, socket.SHUT_RD)
             sockets.wake(self.upstream, socket.SHUT_RD if self.reset_down else socket.SHUT_RDWR)
             back.join()
-            sockets.close(self.downstream, reset=self.reset_up and not self.moved)
+            sockets.close(self.downstream, reset=self.reset_up and not (self.moved or self.refused))
             sockets.close(self.upstream, reset=self.reset_down)
-        if self.moved or self.last is Kind.AWAY:
+        if self.moved or self.refused or self.reset_down or self.last is Kind.AWAY:
             return Status.CANCELLED
         return Status.SERVED if self.last is Kind.LAST else Status.CUT
 
     def _pass_down(self, observer: Observer) -> None:
-        buffer = bytearray(MOST // 8)
+        buffer = bytearray(max(MOST, 2 * len(self.first_down)))
         view = memoryview(buffer)
         have = len(self.first_down)
         buffer[:have] = self.first_down
@@ -145,7 +154,7 @@
     def _write_down(self, data: memoryview) -> bool:
         """Passes data on, then says the farewell if a move waits for this message's end."""
         with self.lock:
-            if self.moved:
+            if self.moved or self.refused:
                 return False
             try:
                 sockets.write(self.downstream, [data])
@@ -158,26 +167,34 @@
             return not self.moved
 
     def _pass_up(self) -> None:
-        buffer = bytearray(MOST // 8)
+        buffer = bytearray(max(MOST, 2 * len(self.first_up)))
         view = memoryview(buffer)
-        got = len(self.first_up)
-        buffer[:got] = self.first_up
+        have = len(self.first_up)
+        buffer[:have] = self.first_up
         while True:
-            if got:
-                _, messages = self.from_downstream.feed(view[:got])
+            if have:
+                try:
+                    passed, messages = self.from_downstream.feed(view[:have])
+                except ViolationError as violation:
+                    self._end_with(violation.reply)
+                    return
                 at = now()
                 self.asked.extend(at for message in messages if message.kind is Kind.ASK)
+                passed = passed if have < len(buffer) else passed or have
                 try:
-                    sockets.write(self.upstream, [view[:got]])
+                    sockets.write(self.upstream, [view[:passed]])
                 except OSError:
                     return  # the other thread sees how the upstream host ended
+                buffer[:have - passed] = buffer[passed:have]
+                have -= passed
             try:
-                got = self.downstream.recv_into(view)
+                got = self.downstream.recv_into(view[have:])
             except OSError:
                 self.reset_down = True
                 break
             if got == 0:
                 break
+            have += got
         if self.over.is_set() or self.moved:
             return
         if self.reset_down:
@@ -193,7 +210,7 @@
             self.move_wanted = True  # the writer has the lock and says the farewell itself
             return True
         with self.lock_held():
-            if self.moved or self.over.is_set():
+            if self.moved or self.refused or self.over.is_set():
                 return False
             if not (self.started and self.from_upstream.between()):
                 self.move_wanted = True
@@ -206,8 +223,18 @@
 
     def _farewell(self) -> None:
         self.moved = True
+        self._last_words(self.farewell)
+
+    def _end_with(self, reply: bytes) -> None:
+        with self.lock:
+            if not self.moved:
+                self.refused = True
+                self._last_words(reply)
+
+    def _last_words(self, words: bytes) -> None:
+        """With the lock held: nothing follows these words on the downstream."""
         try:
-            sockets.write(self.downstream, [self.farewell])
+            sockets.write(self.downstream, [words])
         except OSError:
             self.reset_down = True
         sockets.wake(self.upstream)
--- a/bramblestile/process/config.py
+++ b/bramblestile/process/config.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from bramblestile.memory.cluster import UpstreamHost
-from bramblestile.wire import discovery
+from bramblestile.wire import discovery, nats
 from bramblestile.wire.sockets import Address
 from vanegw import interface as api
 from vanegw import wire as settings_form
@@ -29,9 +29,11 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Config:
+class FrontConfig:
+    """One front: where it listens, its cluster, and the module's settings."""
+
     name: str
-    listen: Address | None  # the platform's front; None: off
+    listen: Address
     discovery: Address | None  # None: the list in the file is all there is
     seed: int
     known_version: int
@@ -39,7 +41,17 @@
     settings: api.Settings
     connect_within: timedelta = CONNECT_WITHIN
     probe_within: timedelta = PROBE_WITHIN
-    extra: Mapping[str, Any] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class NatsConfig(FrontConfig):
+    greeting: nats.Greeting = field(kw_only=True)
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    lines: FrontConfig | None  # the platform's front; None: off
+    nats: NatsConfig | None
 
 
 class Section:
@@ -97,40 +109,61 @@
 
 def _settings(top: Section) -> api.Settings:
     if not top.has("settings"):
-        raise ConfigError("settings: missing")
+        raise ConfigError(f"{top.key('settings')}: missing")
     try:
         made, _ = settings_form.settings(dict(top.section("settings").values))
     except (settings_form.WireError, ValueError) as error:
-        raise ConfigError("settings: " + str(error).removeprefix("setup: ")) from None
+        raise ConfigError(f"{top.key('settings')}." + str(error).removeprefix("setup: ")) from None
     return made
 
 
-def read(values: Mapping[str, Any], environment: Mapping[str, str] | None = None) -> Config:
-    """The checked configuration. The platform's variables fill in what the file leaves out."""
-    named = {"name": "EDGE_NAME", "listen": "EDGE_LISTEN", "discovery": "EDGE_DISCOVERY"}
-    given = {key: environment[var] for key, var in named.items() if environment and var in environment}
-    top = Section({**given, **values})
-    known = top.section("known")
+def _front(top: Section, at: Section) -> FrontConfig:
+    """A front's own keys; settings, seed and spans that it leaves out are the program's."""
+    known = at.section("known")
     try:
         hosts = tuple(discovery.hosts(known.values.get("hosts", [])))
     except ValueError as error:
-        raise ConfigError(f"known.hosts: {error}") from None
-    limits = top.section("settings").section("limits")
-    spans = top.section("spans")
-    return Config(
-        name=top.text("name", "bramblestile"),
-        listen=top.address("listen") if top.has("listen") else None,
-        discovery=top.address("discovery") if top.has("discovery") else None,
-        seed=_seed(top),
-        known_version=known.integer("seq", 0),
-        known=hosts,
-        settings=_settings(top),
+        raise ConfigError(f"{known.key('hosts')}: {error}") from None
+    owner = at if at.has("settings") else top
+    limits, spans = owner.section("settings").section("limits"), top.section("spans")
+    return FrontConfig(
+        name=top.text("name", "bramblestile"), listen=at.address("listen"),
+        discovery=at.address("discovery") if at.has("discovery") else None,
+        seed=_seed(top), known_version=known.integer("seq", 0), known=hosts, settings=_settings(owner),
         connect_within=limits.micros("connect_timeout_us", CONNECT_WITHIN),
         probe_within=spans.micros("probe_us", PROBE_WITHIN),
-        extra=top.values,
     )
 
 
+def _nats(top: Section) -> NatsConfig:
+    at = top.section("nats")
+    front = _front(top, at)
+    names = [c.name for c in front.settings.classes]
+
+    def user(section: Section) -> nats.User:
+        cls = section.text("class", names[0])
+        if cls not in names:
+            raise ConfigError(f"{section.key('class')}: {cls!r} is none of {names}")
+        return nats.User(cls, section.text("tenant") if section.has("tenant") else None)
+
+    users = at.section("users")
+    greeting = nats.Greeting(
+        name=front.name, address=front.listen, default=user(at.section("default")),
+        users={name: user(users.section(name)) for name in users.values},
+        max_payload=at.integer("max_payload", 1 << 20, 1))
+    return NatsConfig(**{f: getattr(front, f) for f in FrontConfig.__slots__}, greeting=greeting)
+
+
+def read(values: Mapping[str, Any], environment: Mapping[str, str] | None = None) -> Config:
+    """The checked configuration. The platform's variables fill in what the file leaves out."""
+    named = {"name": "EDGE_NAME", "listen": "EDGE_LISTEN", "discovery": "EDGE_DISCOVERY"}
+    given = {key: environment[var] for key, var in named.items() if environment and var in environment}
+    top = Section({**given, **values})
+    if not top.has("listen") and not top.has("nats"):
+        raise ConfigError("listen: missing, and there is no other front")
+    return Config(_front(top, top) if top.has("listen") else None, _nats(top) if top.has("nats") else None)
+
+
 def load(arguments: list[str], environment: Mapping[str, str]) -> Config:
     """From $EDGE_CONFIG and the operator's file named on the command line."""
     values: dict[str, Any] = {}
--- /dev/null
+++ b/bramblestile/process/front.py
@@ -0,0 +1,158 @@
+"""One front with a cluster of its own: its decisions, connections, probes and watch, wired together."""
+
+from __future__ import annotations
+
+import socket
+import sys
+from collections.abc import Callable
+from datetime import timedelta
+
+from bramblestile.life import House, live
+from bramblestile.memory.cluster import Cluster
+from bramblestile.memory.connections import Connections, Delays, Standing
+from bramblestile.memory.counters import Counters
+from bramblestile.memory.decisions import Decisions
+from bramblestile.process.config import FrontConfig, NatsConfig
+from bramblestile.process.listeners import Listener
+from bramblestile.wire import lines, nats, sockets
+from bramblestile.wire.discovery import Watch
+from bramblestile.wire.probes import Ask, Probes
+from vanegw import interface as api
+
+FIRST_LINE = timedelta(seconds=30)  # for a downstream that has connected and says nothing
+MILLISECOND = timedelta(milliseconds=1)
+
+
+def log(text: str) -> None:
+    print(text, file=sys.stderr, flush=True)
+
+
+class Front:
+    """What every front has, whatever it speaks. Nothing in it listens before ``start``."""
+
+    name = ""
+
+    def __init__(self, config: FrontConfig, counters: Counters) -> None:
+        self.config = config
+        self.counters = counters
+        self.cluster = Cluster()
+        self.decisions = Decisions(config.settings, config.seed, self.cluster, counters)
+        self.connections = Connections(self.mute)
+        aims = [c.message_aim_us for c in config.settings.classes if c.message_aim_us > 0]
+        self.delays = Delays(timedelta(microseconds=min(aims, default=300_000.0) / 3), self._note_delay)
+        self.house = House(self.decisions, self.cluster, self.connections, counters, self,
+                           config.connect_within, self.host_drains)
+        self.probes = Probes(self.cluster, self.prober, config.probe_within, self.decisions.tell, counters)
+        self.watch = None if config.discovery is None else Watch(
+            config.discovery, config.known_version, self.decisions.list, log)
+        self.listener: Listener | None = None
+
+    def start(self) -> None:
+        self.decisions.on_probe = self.probes.ask
+        self.decisions.on_move = self.connections.move
+        if self.watch is not None:
+            self.decisions.on_subscribe = self.watch.ask
+            self.watch.start()
+        self.decisions.start()
+        self.connections.start()
+        self.decisions.list(api.ListMode.RESTORED, self.config.known)
+        self.listener = Listener(self.config.listen, self.serve, self.counters, self.name)
+        self.listener.start()
+
+    def prober(self) -> tuple[Ask, Callable[[], None]]:
+        raise NotImplementedError
+
+    def serve(self, sock: socket.socket) -> None:
+        raise NotImplementedError
+
+    def _reject(self, sock: socket.socket, reply: bytes, why: Exception) -> None:
+        """What is no request gets a failed answer and a counter: it must not end in a traceback."""
+        self.counters.add("bad_first_lines")
+        log(f"{self.name}: not taken: {why!r}")
+        sockets.write(sock, [reply])
+        sockets.close(sock)
+
+    # The observer of standing connections.
+
+    def _note(self, standing: Standing, kind: api.NoteKind, value: float) -> None:
+        self.decisions.tell(api.Note(standing.id, 0, standing.host, kind, value))
+
+    def load(self, standing: Standing, value: float) -> None:
+        self._note(standing, api.NoteKind.LOAD, value)
+
+    def delay(self, standing: Standing, delay: timedelta) -> None:
+        self.delays.seen(standing, delay)
+
+    def drains(self, standing: Standing) -> None:
+        self.host_drains(standing.host)
+
+    def mute(self, standing: Standing, delay: timedelta) -> None:
+        self.delays.seen(standing, delay, answered=False)
+        self._note(standing, api.NoteKind.SILENCE, delay / MILLISECOND)
+
+    def _note_delay(self, standing: Standing, delay: timedelta) -> None:
+        self._note(standing, api.NoteKind.DELAY, delay / MILLISECOND)
+
+    def host_drains(self, name: str) -> None:
+        """An upstream host's own word that it drains counts like discovery's."""
+        host = self.cluster.draining(name)
+        if host is not None:
+            self.counters.add("told_draining_by_host")
+            self.decisions.list(api.ListMode.CHANGES, (host,))
+
+
+class LineFront(Front):
+    """The platform's line protocol."""
+
+    name = "lines"
+
+    def prober(self) -> tuple[Ask, Callable[[], None]]:
+        prober = lines.Prober()
+        return prober.ask, prober.close
+
+    def serve(self, sock: socket.socket) -> None:
+        """The first line of a downstream: a health check, or a request whose life begins."""
+        reader = sockets.LineReader(sock, lines.LONGEST)
+        try:
+            while True:
+                line = reader.line(FIRST_LINE)
+                if line is None:
+                    return
+                if sockets.text(line) != "PING":
+                    break
+                sockets.write(sock, [lines.PONG])
+            asked, head = lines.parse_open(line)
+        except TimeoutError:
+            self.counters.add("silent_downstreams")
+            return
+        except (sockets.OverlongError, lines.MalformedError) as error:
+            self._reject(sock, lines.FAILED, error)
+            return
+        live(self.house, lines.LineDownstream(sock, reader, asked, head), asked)
+
+
+class NatsFront(Front):
+    """The NATS client protocol."""
+
+    name = "nats"
+
+    def __init__(self, config: NatsConfig, counters: Counters) -> None:
+        super().__init__(config, counters)
+        self.greeting = config.greeting
+        self.waits = {c.name: timedelta(microseconds=c.deadline_us) for c in config.settings.classes}
+
+    def prober(self) -> tuple[Ask, Callable[[], None]]:
+        prober = nats.Prober()
+        return prober.ask, prober.close
+
+    def serve(self, sock: socket.socket) -> None:
+        reader = sockets.LineReader(sock, nats.LONGEST)
+        sockets.write(sock, [self.greeting.info()])
+        try:
+            got = nats.read_connect(sock, reader, self.greeting, self.waits)
+        except nats.RefusedError as error:
+            self._reject(sock, error.reply, error)
+            return
+        if got is not None:
+            asked, connect, verbose = got
+            live(self.house, nats.NatsDownstream(sock, reader, self.greeting, asked, connect, verbose), asked)
--- /dev/null
+++ b/bramblestile/wire/common.py
@@ -0,0 +1,55 @@
+"""What both dialects' downstreams share: leaving seen, local replies, dialling for an upstream request."""
+
+from __future__ import annotations
+
+import socket
+from abc import ABC, abstractmethod
+from datetime import timedelta
+
+from bramblestile.clock import now
+from bramblestile.dialect import Answer, Asked, CanSend, NotUp, Up
+from bramblestile.wire import sockets
+from bramblestile.wire.sockets import Address, LineReader
+from vanegw.interface import Status
+
+
+class SocketDownstream(ABC):
+    """A downstream on a socket whose first words have been read."""
+
+    def __init__(self, sock: socket.socket, reader: LineReader, asked: Asked) -> None:
+        self._sock = sock
+        self._reader = reader  # holds what the downstream sent beyond its first words
+        self._asked = asked
+
+    def has_left(self) -> bool:
+        return sockets.has_left(self._sock)
+
+    @abstractmethod
+    def refuse(self, come_back: timedelta) -> None: ...
+
+    @abstractmethod
+    def fail(self) -> None: ...
+
+    @abstractmethod
+    def _ask(self, upstream: socket.socket, until: timedelta, may_send: CanSend) -> Answer: ...
+
+    def _reply(self, line: bytes) -> None:
+        try:
+            sockets.write(self._sock, [line])
+        finally:
+            sockets.close(self._sock)
+
+    def upstream_request(self, address: Address, until: timedelta, connect_within: timedelta,
+                         may_send: CanSend) -> Answer:
+        """Dials and asks; the connection is closed unless the answer keeps it."""
+        try:
+            upstream = sockets.dial(address, min(connect_within, until - now()))
+        except OSError:
+            return NotUp(Status.NO_ROUTE)
+        answer: Answer | None = None
+        try:
+            answer = self._ask(upstream, until, may_send)
+            return answer
+        finally:
+            if not isinstance(answer, Up):
+                sockets.close(upstream)
--- a/bramblestile/wire/lines.py
+++ b/bramblestile/wire/lines.py
@@ -10,6 +10,7 @@
 from bramblestile.dialect import Answer, Asked, CanSend, NotUp, Up
 from bramblestile.memory.connections import Kind, Message, Standing
 from bramblestile.wire import sockets
+from bramblestile.wire.common import SocketDownstream
 from bramblestile.wire.sockets import Address, LineReader, text
 from vanegw.interface import Report, Status
 
@@ -129,18 +130,13 @@
         return float("nan")
 
 
-class LineDownstream:
+class LineDownstream(SocketDownstream):
     """One client of the platform, whose first line has been read."""
 
     def __init__(self, sock: socket.socket, reader: LineReader, asked: Asked, head: Head) -> None:
-        self._sock = sock
-        self._reader = reader
-        self._asked = asked
+        super().__init__(sock, reader, asked)
         self._head = head
 
-    def has_left(self) -> bool:
-        return sockets.has_left(self._sock)
-
     def refuse(self, come_back: timedelta) -> None:
         ms = milliseconds(come_back)
         self._reply(b"BUSY %d\r\n" % ms if ms > 0 else b"BUSY\r\n")
@@ -148,26 +144,6 @@
     def fail(self) -> None:
         self._reply(FAILED)
 
-    def _reply(self, line: bytes) -> None:
-        try:
-            sockets.write(self._sock, [line])
-        finally:
-            sockets.close(self._sock)
-
-    def upstream_request(self, address: Address, until: timedelta, connect_within: timedelta,
-                         may_send: CanSend) -> Answer:
-        try:
-            upstream = sockets.dial(address, min(connect_within, until - now()))
-        except OSError:
-            return NotUp(Status.NO_ROUTE)
-        answer: Answer | None = None
-        try:
-            answer = self._ask(upstream, until, may_send)
-            return answer
-        finally:
-            if not isinstance(answer, Up):
-                sockets.close(upstream)
-
     def _ask(self, upstream: socket.socket, until: timedelta, may_send: CanSend) -> Answer:
         # A host that began to drain while we dialled must not get the request.
         if not may_send():
--- /dev/null
+++ b/bramblestile/wire/nats.py
@@ -0,0 +1,257 @@
+"""The NATS client protocol on both sides: INFO and CONNECT, upstream requests, and how messages pass.
+
+Written from the protocol's public description. A request is a client's CONNECT; it is up once an upstream
+host has answered PONG to the PING that follows our CONNECT. From then on bytes pass unchanged.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+import uuid
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from hashlib import blake2b
+from typing import Any
+
+from bramblestile.clock import NOTHING, milliseconds, now
+from bramblestile.dialect import Answer, Asked, CanSend, NotUp, Up
+from bramblestile.memory.connections import Kind, Message, Standing, ViolationError
+from bramblestile.wire import sockets
+from bramblestile.wire.common import SocketDownstream
+from bramblestile.wire.sockets import Address, LineReader, text
+from vanegw.interface import Report, Status
+
+LONGEST = 4096  # bytes of one control line with its ending
+PAYLOADS = (b"PUB", b"HPUB", b"MSG", b"HMSG")  # their last word is the size of what follows
+CONNECT_WITHIN = timedelta(seconds=2)  # for the client's CONNECT, as common servers have it
+PING, PONG, OK = b"PING\r\n", b"PONG\r\n", b"+OK\r\n"
+
+
+def error(words: str) -> bytes:
+    return f"-ERR '{words}'\r\n".encode()
+
+
+FULL = "maximum connections exceeded"
+FAILED = error("Stale Connection")  # client libraries answer it by connecting again
+NO_CONNECT = error("Authentication Timeout")
+UNKNOWN = error("Unknown Protocol Operation")
+PARSER = error("Parser Error")
+LINE_LIMIT = error("Maximum Control Line Exceeded")
+PAYLOAD_LIMIT = error("Maximum Payload Violation")
+
+
+class RefusedError(Exception):
+    """What the client said before it was taken is answered with this reply."""
+
+    def __init__(self, reply: bytes) -> None:
+        super().__init__(text(memoryview(reply)))
+        self.reply = reply
+
+
+@dataclass(slots=True, frozen=True)
+class User:
+    """What a CONNECT's ``user`` stands for in the module's terms."""
+
+    cls: str
+    tenant: str | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Greeting:
+    """What the front says of itself, and whom it knows."""
+
+    name: str
+    address: Address
+    default: User
+    users: Mapping[str, User] = field(default_factory=dict)
+    max_payload: int = 1 << 20
+
+    def info(self, ldm: bool = False) -> bytes:
+        said: dict[str, Any] = {
+            "server_id": self.name, "server_name": self.name, "version": "2.10.0", "proto": 1,
+            "headers": True, "host": self.address[0], "port": self.address[1],
+            "max_payload": self.max_payload,
+        }
+        if ldm:
+            said["ldm"] = True
+        return b"INFO " + json.dumps(said, separators=(",", ":")).encode() + b"\r\n"
+
+
+def read_connect(sock: socket.socket, reader: LineReader, greeting: Greeting,
+                 waits: Mapping[str, timedelta]) -> tuple[Asked, bytes, bool] | None:
+    """The client's CONNECT: what it asks for, the line as it came, whether it is verbose. None: it left."""
+    until = now() + CONNECT_WITHIN
+    while True:
+        try:
+            line = reader.line(max(until - now(), NOTHING))
+        except TimeoutError:
+            raise RefusedError(NO_CONNECT) from None
+        except sockets.OverlongError:
+            raise RefusedError(LINE_LIMIT) from None
+        if line is None:
+            return None
+        word, _, rest = bytes(line).strip().partition(b" ")
+        if word.upper() == b"PING":
+            sockets.write(sock, [PONG])
+        elif word.upper() == b"CONNECT":
+            break
+        else:
+            raise RefusedError(UNKNOWN)
+    try:
+        options = json.loads(rest)
+        user = greeting.users.get(str(options.get("user")), greeting.default)
+        name = options.get("name")
+        verbose = bool(options.get("verbose"))
+    except (ValueError, AttributeError):
+        raise RefusedError(PARSER) from None
+    # Clients of one name work on the same collection: they are a group to the module.
+    tag = blake2b(name.encode(), digest_size=6).digest() if isinstance(name, str) else None
+    group = int.from_bytes(tag, "big") if tag else None
+    asked = Asked(uuid.uuid4().hex, user.cls, waits[user.cls], user.tenant, group=group)
+    return asked, bytes(line), verbose
+
+
+def is_ldm(info: bytes) -> bool:
+    try:
+        said = json.loads(info.partition(b" ")[2])
+        return isinstance(said, dict) and said.get("ldm") is True
+    except ValueError:
+        return False
+
+
+def error_status(line: bytes) -> Status:
+    """A host that is full has not looked at the CONNECT; after any other error it may have run."""
+    said = line.lower()
+    return Status.NO_ROOM if b"maximum" in said and b"connections exceeded" in said else Status.ERROR
+
+
+class NatsFramer:
+    """Follows one direction, over split and joined reads, through payloads that may hold any bytes."""
+
+    def __init__(self, kinds: Mapping[bytes, Kind], max_payload: int | None = None) -> None:
+        self._kinds = kinds
+        self._max_payload = max_payload  # None: the upstream host's own affair
+        self._owed = 0  # bytes of a payload, with its ending, that are still to come
+
+    def feed(self, data: memoryview) -> tuple[int, list[Message]]:
+        raw, at, messages = bytes(data), 0, []
+        while at < len(raw):
+            if self._owed:
+                step = min(self._owed, len(raw) - at)
+                self._owed -= step
+                at += step
+                continue
+            end = raw.find(b"\n", at)
+            if (end if end >= 0 else len(raw)) - at > LONGEST and self._max_payload is not None:
+                raise ViolationError(LINE_LIMIT)
+            if end < 0:
+                break
+            messages.append(self._line(raw[at:end + 1]))
+            at = end + 1
+        return at, messages
+
+    def _line(self, line: bytes) -> Message:
+        words = line.split()
+        word = words[0].upper() if words else b""
+        if word in PAYLOADS:
+            if not words[-1].isdigit():
+                if self._max_payload is not None:
+                    raise ViolationError(PARSER)
+                return Message(Kind.OTHER)
+            size = int(words[-1])
+            if self._max_payload is not None and size > self._max_payload:
+                raise ViolationError(PAYLOAD_LIMIT)
+            self._owed = size + 2
+        if word == b"INFO" and is_ldm(line):
+            return Message(Kind.DRAINS)
+        return Message(self._kinds.get(word, Kind.OTHER))
+
+    def between(self) -> bool:
+        return self._owed == 0
+
+
+class NatsDownstream(SocketDownstream):
+    """One NATS client, whose CONNECT has been read."""
+
+    def __init__(self, sock: socket.socket, reader: LineReader, greeting: Greeting, asked: Asked,
+                 connect: bytes, verbose: bool) -> None:
+        super().__init__(sock, reader, asked)
+        self._greeting = greeting
+        self._connect = connect
+        self._verbose = verbose
+
+    def refuse(self, come_back: timedelta) -> None:
+        ms = milliseconds(come_back)
+        self._reply(error(f"{FULL}, come back in {ms} ms" if ms > 0 else FULL))
+
+    def fail(self) -> None:
+        self._reply(FAILED)
+
+    def _ask(self, upstream: socket.socket, until: timedelta, may_send: CanSend) -> Answer:
+        reader = LineReader(upstream, LONGEST * 4)  # an INFO may be longer than a client's lines
+        sent = False
+        while True:
+            try:
+                line = reader.line(max(until - now(), NOTHING), beside=self._sock)
+            except TimeoutError:
+                return NotUp(Status.TIMED_OUT if sent else Status.NO_ROUTE)
+            except InterruptedError:
+                return NotUp(Status.CANCELLED, downstream_left=True)
+            except (OSError, sockets.OverlongError):
+                line = None
+            if line is None:
+                return NotUp(Status.CUT if sent else Status.NO_ROUTE)
+            said = bytes(line).strip()
+            word = said.partition(b" ")[0].upper()
+            if word == b"INFO":
+                if is_ldm(said):  # it drains: before CONNECT nothing ran, after it the client is sent away
+                    return NotUp(Status.CANCELLED if sent else Status.NO_ROOM, host_drains=True)
+                if not sent:
+                    if not may_send():
+                        return NotUp(Status.NO_ROUTE)
+                    try:
+                        sockets.write(upstream, [self._connect, PING])
+                    except OSError:
+                        return NotUp(Status.NO_ROUTE)
+                    sent = True
+            elif word == b"-ERR":
+                return NotUp(error_status(said))
+            elif word == b"PING":
+                sockets.write(upstream, [PONG])  # the host measures its way; the client is not there yet
+            elif word == b"PONG" and sent:
+                return Up(self._standing(upstream, reader))
+            elif word != b"+OK":
+                return NotUp(Status.ERROR)
+
+    def _standing(self, upstream: socket.socket, reader: LineReader) -> Standing:
+        greeting = self._greeting
+        return Standing(
+            self._asked.id, "", self._sock, upstream, greeting.info(ldm=True),
+            NatsFramer({b"PONG": Kind.ANSWER}), NatsFramer({b"PING": Kind.ASK}, greeting.max_payload),
+            first_up=self._reader.rest(), first_down=(OK if self._verbose else b"") + reader.rest(),
+            started=True)
+
+
+class Prober:
+    """NATS hosts report no load: a probe tells whether one answers PING."""
+
+    def ask(self, address: Address, within: timedelta) -> tuple[Status, Report | None]:
+        until = now() + within
+        try:
+            with sockets.dial(address, within) as sock:
+                reader = LineReader(sock, LONGEST * 4)
+                sockets.write(sock, [b'CONNECT {"verbose":false}\r\n', PING])
+                while line := reader.line(max(until - now(), NOTHING)):
+                    word = bytes(line).partition(b" ")[0].strip().upper()
+                    if word in (b"PONG", b"-ERR"):
+                        return (Status.SERVED, None) if word == b"PONG" else (error_status(bytes(line)), None)
+                return Status.CUT, None
+        except TimeoutError:
+            return Status.TIMED_OUT, None
+        except (OSError, sockets.OverlongError):
+            return Status.NO_ROUTE, None
+
+    def close(self) -> None:
+        """Nothing is kept."""
--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,209 @@
+"""The scenario language of the tests: who does what, a line each, against the whole program on loopback.
+
+    c1 ask          a downstream connects and asks; b0 taken  an upstream host gets the request
+    c1 send TEXT    a line, CRLF added ('raw' adds none, \\r and \\n may be written)
+    c1 expect GLOB  the next line matches; expectraw TEXT: exactly these bytes come next
+    c1 close        ends the connection; reset breaks it; stop ends a host's listener
+    c1 ends         the other side has ended it; broken: by a reset
+    b0 idle         no connection waits there
+    list b0 STATE   discovery tells; 'cold': started just now
+    wait NAME N     until a counter has reached N
+
+The words of ``WORDS`` (ask, taken, up, served, full ...) stand for the lines that a wire has for them.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import fnmatch
+import select
+import socket
+import struct
+import time
+from dataclasses import replace
+from typing import Any
+
+from bramblestile.clock import now
+from bramblestile.memory.counters import Counters
+from bramblestile.process import config
+from bramblestile.process.front import Front, LineFront, NatsFront
+from vanegw import interface as api
+
+BOUND = 5.0  # seconds within which whatever a scenario waits for must come
+CLASS = {"objective_us": 600_000, "deadline_us": 1_500_000, "worth": 1.0}
+LINES = {
+    "ask": ["send OPEN {n}00000000000000{n} 7f3a c=feed,t=acme,d=1500,g=5c", "send early"],
+    "ask-once": ["send OPEN {n}00000000000000{n} 7f3a c=once,t=acme,d=1500,g=5c"],
+    "taken": ["expect OPEN * 7f3a c=*,t=acme,d=*,g=5c"], "up": ["send UP r1", "expect early"],
+    "full": ["send BUSY"], "error": ["send ERR"], "served": ["expect UP r1"], "hello": [],
+    "refused": ["expect BUSY*", "ends"], "failed": ["expect ERR", "ends"], "moved": ["expect MOVE", "ends"],
+    "says": ["send line one"], "hears": ["expect line one"], "bye": ["send BYE"],
+}
+NATS = {
+    "ask": ["expect INFO *", 'raw CONNECT {{"verbose":false,"name":"coll"}}\\r\\nPING\\r\\n'],
+    "ask-once": ["expect INFO *", 'send CONNECT {{"verbose":false,"user":"once"}}', "send PING"],
+    "hello": ['send INFO {{"server_id":"x","max_payload":1048576}}'],
+    "taken": ["hello", "expect CONNECT *", "expect PING"], "up": ["send PONG", "expect PING", "send PONG"],
+    "full": ["send -ERR 'maximum connections exceeded'"], "error": ["send -ERR 'Authorization Violation'"],
+    "served": ["expect PONG"], "refused": ["expect -ERR 'maximum connections exceeded*", "ends"],
+    "failed": ["expect -ERR 'Stale Connection'", "ends"], "moved": ['expect INFO *"ldm":true*', "ends"],
+    "says": ["raw MSG a.b 1 10\\r\\n12\\r\\n345678\\r\\n"],
+    "hears": ["expectraw MSG a.b 1 10\\r\\n12\\r\\n345678\\r\\n"], "bye": [],
+}
+WORDS = {"lines": LINES, "nats": NATS}
+
+
+class Peer:
+    """One socket of a scenario."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.read = sock, b""
+        sock.settimeout(BOUND)
+
+    def more(self) -> bool:
+        got = self.sock.recv(65536)
+        self.read += got
+        return bool(got)
+
+    def take(self, size: int) -> bytes:
+        while len(self.read) < size:
+            assert self.more(), f"ended after {self.read!r}"
+        got, self.read = self.read[:size], self.read[size:]
+        return got
+
+    def line(self) -> str:
+        while b"\n" not in self.read:
+            assert self.more(), f"ended after {self.read!r}"
+        return self.take(self.read.index(b"\n") + 1).decode().rstrip("\r\n")
+
+    def ends(self) -> None:
+        assert not self.read and not self.more(), f"still says {self.read!r}"
+
+
+class Stage:
+    """The program with one front, its stand-in upstream hosts, and the downstreams of a scenario."""
+
+    def __init__(self, wire: str = "lines", hosts: int = 1, discovery: socket.socket | None = None,
+                 **limits: Any) -> None:
+        self.wire = wire
+        self.listening = {f"b{n}": socket.create_server(("127.0.0.1", 0)) for n in range(hosts)}
+        self.peers: dict[str, Peer] = {}
+        self.numbers: dict[str, int] = {}
+        aims = limits.pop("message_aim_us", [60_000.0, 60_000.0])
+        values: dict[str, Any] = {
+            "name": "n1", "seed": "1f",
+            "known": {"seq": 1, "hosts": [self.entry(name) for name in self.listening]},
+            "settings": {
+                "classes": [{"name": "feed", **CLASS}, {"name": "once", "effect": "unsafe", **CLASS}],
+                "membership_mode": "on_request", "domain": {"message_aim_us": aims},
+                "report": {"how": "probe", "names": ["x0"]},
+                "rules": {"cold_from": 0.13, "cold_us": 21_000_000, "fall_multiple": 4.0,
+                          "fall_us": 3_000_000},
+                "limits": {"probes": False, "may_cancel": True, "try_limit": 1, "retry_after": True,
+                           "max_retry_after_us": 1_000_000, "connect_timeout_us": 250_000} | limits}}
+        if discovery is not None:
+            values["discovery"] = "{}:{}".format(*discovery.getsockname())
+            self.listening["d"] = discovery
+        self.counters = Counters()
+        self.front: Front
+        if wire == "lines":
+            made = config.read(values | {"listen": "127.0.0.1:0"}).lines
+            assert made is not None
+            self.front = LineFront(made, self.counters)
+        else:
+            more = {"listen": "127.0.0.1:0", "known": values.pop("known"), "max_payload": 100,
+                    "users": {"once": {"class": "once"}}}
+            got = config.read(values | {"nats": more}).nats
+            assert got is not None
+            self.front = NatsFront(got, self.counters)
+        self.front.start()
+
+    def entry(self, name: str) -> dict[str, Any]:
+        return {"host": name, "dial": "{}:{}".format(*self.listening[name].getsockname()),
+                "health": "in_service"}
+
+    def play(self, script: str) -> None:
+        for number, line in enumerate(script.strip().splitlines(), 1):
+            if line.strip():
+                try:
+                    self.step(line.strip())
+                except Exception as error:
+                    where = f"{self.wire}, line {number}, {line.strip()!r}"
+                    raise AssertionError(f"{where}: {error!r}") from error
+
+    def step(self, line: str) -> None:
+        actor, verb, rest = (*line.split(" ", 2), "")[:3]
+        if actor == "wait":
+            self.until(lambda: self.counters.get(verb) >= int(rest), f"{verb}: {self.counters.lines()}")
+        elif actor == "list":
+            self.tell(verb, rest)
+        elif verb in WORDS[self.wire]:
+            number = self.numbers.setdefault(actor, len(self.numbers) + 1)
+            for step in WORDS[self.wire][verb]:
+                self.step(f"{actor} {step.format(n=number)}")
+        else:
+            getattr(self, "do_" + verb)(actor, rest)
+
+    def until(self, true: Any, what: str) -> None:
+        end = time.monotonic() + BOUND
+        while not true():
+            assert time.monotonic() < end, what
+            time.sleep(0.002)
+
+    def tell(self, name: str, state: str) -> None:
+        host = self.front.cluster.find(name) or self.front.config.known[int(name[1:])]
+        born = now() if state == "cold" else host.born
+        word = "running" if state == "cold" else state
+        self.front.decisions.list(api.ListMode.CHANGES, (replace(host, state=api.State(word), born=born),))
+
+    def peer(self, actor: str) -> Peer:
+        if actor not in self.peers:
+            if actor in self.listening:
+                self.listening[actor].settimeout(BOUND)
+                sock = self.listening[actor].accept()[0]
+            else:
+                assert self.front.listener is not None
+                sock = socket.create_connection(self.front.listener.address)
+            self.peers[actor] = Peer(sock)
+        return self.peers[actor]
+
+    def do_send(self, actor: str, text: str) -> None:
+        self.peer(actor).sock.sendall(text.encode() + b"\r\n")
+
+    def do_raw(self, actor: str, text: str) -> None:
+        self.peer(actor).sock.sendall(text.encode().decode("unicode_escape").encode())
+
+    def do_expect(self, actor: str, glob: str) -> None:
+        got = self.peer(actor).line()
+        assert fnmatch.fnmatchcase(got, glob), f"got {got!r}"
+
+    def do_expectraw(self, actor: str, text: str) -> None:
+        wanted = text.encode().decode("unicode_escape").encode()
+        got = self.peer(actor).take(len(wanted))
+        assert got == wanted, f"got {got!r}"
+
+    def do_accept(self, actor: str, _: str) -> None:
+        self.peers.pop(actor, None)
+        self.peer(actor)
+
+    def do_close(self, actor: str, _: str) -> None:
+        self.peers.pop(actor).sock.close()
+
+    def do_reset(self, actor: str, _: str) -> None:
+        sock = self.peers.pop(actor).sock
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+
+    def do_ends(self, actor: str, _: str) -> None:
+        self.peers.pop(actor).ends()
+
+    def do_broken(self, actor: str, _: str) -> None:
+        with contextlib.suppress(ConnectionResetError):
+            self.peers.pop(actor).ends()
+            raise AssertionError("ended without a reset")
+
+    def do_stop(self, actor: str, _: str) -> None:
+        self.listening[actor].close()
+
+    def do_idle(self, actor: str, _: str) -> None:
+        assert not select.select([self.listening[actor]], [], [], 0)[0], "a connection waits there"
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,102 @@
+"""Start and stop, and the configuration's messages."""
+
+from __future__ import annotations
+
+import copy
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from bramblestile.process import config
+from tests.scenario import Peer
+
+SETTINGS = {"classes": [{"name": "feed", "objective_us": 600_000, "deadline_us": 1_500_000}]}
+GOOD: dict[str, Any] = {
+    "listen": "127.0.0.1:0", "discovery": "127.0.0.1:8500", "settings": SETTINGS,
+    "known": {"seq": 4, "hosts": [{"host": "a", "dial": "127.0.0.1:1", "health": "in_service"}]},
+    "nats": {"listen": "127.0.0.1:0"},
+}
+
+
+def test_the_operators_file_is_read_as_it_stands() -> None:
+    got = config.load([str(Path(__file__).parent.parent / "deploy" / "nats.toml")], {})
+    assert got.lines is None and got.nats is not None
+    assert [h.id for h in got.nats.known] == ["catalogue-a", "catalogue-b"]
+    assert got.nats.greeting.users["curators"].tenant == "vestland-museum"
+
+
+def test_the_platforms_file_and_variables(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({key: GOOD[key] for key in ("settings", "known")}))
+    got = config.load([], {"EDGE_CONFIG": str(path), "EDGE_LISTEN": "127.0.0.9:81", "EDGE_NAME": "n3"})
+    assert got.nats is None and got.lines is not None
+    assert (got.lines.name, got.lines.listen, got.lines.known_version) == ("n3", ("127.0.0.9", 81), 4)
+
+
+@pytest.mark.parametrize(("path", "value"), [
+    ("listen", "nowhere"), ("discovery", "1.2.3.4:99999"), ("seed", "xyz"), ("settings", None),
+    ("settings.classes", []), ("known.seq", -1), ("known.seq", 1.5), ("known.hosts", [{"host": "a"}]),
+    ("settings.limits.connect_timeout_us", "soon"), ("spans.probe_us", 0), ("nats.listen", None),
+    ("nats.max_payload", 0), ("nats.users.x", 5), ("nats.default.class", "unheard-of"),
+])
+def test_a_message_names_the_faulty_key(path: str, value: object) -> None:
+    values = copy.deepcopy(GOOD)
+    at: Any = values
+    *parents, last = path.split(".")
+    for name in parents:
+        at = at.setdefault(name, {})
+    at[last] = value
+    with pytest.raises(config.ConfigError, match="^" + re.escape(path)):
+        config.read(values)
+
+
+def test_the_program_answers_prints_its_counters_and_leaves_nobody_behind(tmp_path: Path) -> None:
+    """A planned restart: what stands is told to move, and the exit comes before SIGKILL would."""
+    with socket.create_server(("127.0.0.1", 0)) as host, socket.create_server(("127.0.0.1", 0)) as free:
+        address = free.getsockname()
+        free.close()
+        known = {"seq": 1, "hosts": [{"host": "a", "dial": "{}:{}".format(*host.getsockname()),
+                                      "health": "in_service"}]}
+        path = tmp_path / "config.json"
+        listen = "{}:{}".format(*address)
+        path.write_text(json.dumps({"listen": listen, "settings": SETTINGS, "known": known}))
+        with subprocess.Popen([sys.executable, "-m", "bramblestile"], stderr=subprocess.PIPE, text=True,
+                              env=os.environ | {"EDGE_CONFIG": str(path)}) as program:
+            try:
+                peer = connect(address, program)
+                peer.sock.sendall(b"PING\r\n")
+                assert peer.line() == "PONG"
+                peer.sock.sendall(b"OPEN 1 2 c=feed,d=1500\r\n")
+                upstream = Peer(host.accept()[0])
+                assert upstream.line().startswith("OPEN 1 2 c=feed,d=")
+                upstream.sock.sendall(b"UP r\r\n")
+                assert peer.line() == "UP r"
+                assert program.stderr is not None
+                program.send_signal(signal.SIGUSR1)
+                assert "answered_served 1" in program.stderr.readline()
+                program.send_signal(signal.SIGTERM)
+                late = Peer(socket.create_connection(address))  # the front still sends for a moment
+                late.sock.sendall(b"OPEN 2 2 c=feed,d=1500\r\n")
+                second = Peer(host.accept()[0])
+                second.sock.sendall(b"UP s\r\n")
+                assert [late.line(), late.line(), peer.line()] == ["UP s", "MOVE", "MOVE"]
+                assert program.wait(3.7) == 0
+                assert "moved 2" in program.stderr.read()
+            finally:
+                program.kill()
+
+
+def connect(address: tuple[str, int], program: subprocess.Popen[str]) -> Peer:
+    while True:
+        try:
+            return Peer(socket.create_connection(address))
+        except ConnectionRefusedError:
+            assert program.poll() is None
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -114,6 +114,8 @@
                 self.backends[info.name] = Known(info)
                 self.table_at = None
             else:
+                if known.info.state is not info.state:
+                    self.table_at = None  # one that takes work again is drawn at once
                 known.info = info
                 for request in list(known.open) if info.state is State.DRAINING else ():
                     self._leave(request)  # a client is told to move before its backend leaves
