Count a dying host's cuts as one failure; move a drained host's clients after the grace

To blame: _on_outcome scored every cut. Cuts of one backend within 20 ms now score once. Now what stands after the drain grace moves.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -381,3 +381,54 @@
             relay.end(attempt, api.Status.CUT, finished=True)
     refused = sum(len(finals(relay.request())) for _ in range(100))
     assert 20 <= refused <= 90
+
+
+def test_the_death_of_one_backend_is_no_jam() -> None:
+    """All that it held is cut at once; counted one by one, its returning clients were refused in a row."""
+    relay = Relay()
+    relay.show(*fleet(3))
+    held = []
+    for _ in range(30):
+        relay.now += 10_000_000
+        held.append(relay.place())
+        relay.open(held[-1])
+    for attempt in held:
+        if attempt.backend == held[0].backend:
+            relay.end(attempt, api.Status.CUT, finished=True)
+    refused = 0
+    for _ in range(100):
+        actions = relay.request(is_return=True)
+        refused += len(finals(actions))
+        for attempt in only(actions, api.Attempt):
+            relay.end(attempt, api.Status.SERVED, finished=True)
+    assert refused <= 10
+
+
+def test_a_drained_backend_s_last_clients_are_told_to_move_after_the_grace() -> None:
+    relay = Relay()
+    relay.show(*fleet(1))
+    sent_away, kept = relay.place(), relay.place()
+    for attempt in (sent_away, kept):
+        relay.open(attempt)
+    relay.show(api.Backend("b0", "z0", state=api.State.DRAINING), mode=api.ListMode.CHANGES)
+    (timer,) = [t for t in only(relay.seen, api.SetTimer) if t.token.startswith("left")]
+    assert timer.after_us <= SETTINGS.drain_grace_us
+    relay.end(sent_away, api.Status.CANCELLED, finished=True)
+    assert relay.tell(api.TimerFired(timer.token)) == [api.Move(kept.id)]
+
+
+def test_a_connection_that_returns_nothing_is_moved() -> None:
+    relay = Relay()
+    relay.show(*fleet(1))
+    attempt = relay.place()
+    relay.open(attempt)
+    for silent_ms, moves in ((rules.MUTE_MS - 1, []), (rules.MUTE_MS, [api.Move(attempt.id)])):
+        assert relay.tell(api.Note(attempt.id, 0, "b0", api.NoteKind.SILENCE, silent_ms)) == moves
+
+
+def test_a_backend_that_runs_again_is_drawn_at_once() -> None:
+    relay = Relay()
+    relay.show(*fleet(2, state=api.State.DRAINING))
+    relay.request()
+    relay.show(*fleet(2))
+    assert relay.pick() in ("b0", "b1")
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -29,6 +29,7 @@
 PATIENCE_SHARE = 1 / 3  # part of the set-up aim for an attempt while another may follow
 ZONE_AVERSION = 50.0  # weight of another zone is 1 / (1 + this x the price of crossing)
 PATIENCE_LATE = 4.0  # aims added to that, times the share of this relay's attempts that timed out of late
+ONE_CUT_US = 20_000  # connections that one backend cuts within this of each other count as one failure
 LATE_SPAN = 4  # attempts over which that share is remembered: a storm is over in seconds
 JAM_REFUSAL = 0.8  # part of arrivals refused when all is late or cut: each adds to it, a few tell its end
 SUSPECT_AIMS = 10  # a backend that failed is masked for so many set-up aims, doubled for each strike
@@ -47,7 +48,7 @@
 COLD_SHARE = 0.5  # part of its fair share, times its warmth, for a cold backend: the rest is left to chance
 ASK_SPREAD_US = 1_000_000  # first subscription within this time, to spread relays that start together
 LOG_EVERY_US = 60_000_000  # between two equal lines for the operator
-ASK, HOLD = "ask", "hold "  # what a timer is for
+ASK, HOLD, LEFT = "ask", "hold ", "left "  # what a timer is for
 FAILURES = (Status.ERROR, Status.NO_ROOM, Status.TIMED_OUT, Status.NO_ROUTE, Status.CUT)
 
 
@@ -117,8 +118,9 @@
                 if known.info.state is not info.state:
                     self.table_at = None  # one that takes work again is drawn at once
                 known.info = info
-                for request in list(known.open) if info.state is State.DRAINING else ():
-                    self._leave(request)  # a client is told to move before its backend leaves
+                if info.state is State.DRAINING and known.open:
+                    # Most backends send their clients away themselves; who is left then is told by us.
+                    self._timer(self.settings.drain_grace_us, LEFT + info.name)
         if event.mode is ListMode.RESTORED and self.settings.list_on_request:
             self._ask_in(ASK_SPREAD_US)
 
@@ -368,7 +370,12 @@
         if flight is None or event.attempt != len(flight.tried) - 1:
             return
         flight.out = False
-        self._score(event.status in (Status.TIMED_OUT, Status.ERROR, Status.CUT))
+        # A backend that dies cuts all that it held at once: that is one failure, not a jam of the fleet.
+        cut = flight.stands and event.status is Status.CUT and known is not None
+        if not (cut and known is not None and self.now - known.cut_at < ONE_CUT_US):
+            self._score(event.status in (Status.TIMED_OUT, Status.ERROR, Status.CUT))
+        if cut and known is not None:
+            known.cut_at = self.now
         if not flight.stands and known is not None:
             known.placed = max(0, known.placed - 1)
             if event.status in FAILURES:
@@ -451,6 +458,10 @@
         if event.token == ASK:
             self.actions.append(api.Subscribe())
             return
+        drained = self.backends.get(event.token.removeprefix(LEFT)) if event.token.startswith(LEFT) else None
+        if drained is not None and drained.info.state is State.DRAINING:
+            for request in list(drained.open):
+                self._leave(request)  # a client is told to move before its backend leaves
         flight = self.flights.get(event.token.removeprefix(HOLD))
         if flight is not None and flight.request.id in self.waiting:
             self._place(flight)
