Move all clients of a host that has returned nothing on any connection for a second

Checked: rules kept, attempts and answers in time, so placement and sockets are ruled out; no code told the module of a host's silence as a whole.

--- a/bramblestile/memory/connections.py
+++ b/bramblestile/memory/connections.py
@@ -19,7 +19,8 @@
 MOST = 8192  # bytes passed on at once
 LAST_WORD = timedelta(seconds=1)  # after the downstream's end, for the upstream host to end too
 MOVE_BOUND = timedelta(milliseconds=500)  # a move waits so long for a message in passing to be whole
-WATCH_EVERY = timedelta(milliseconds=250)
+WATCH_EVERY = timedelta(milliseconds=100)
+NOTED_FROM = timedelta(milliseconds=250)  # a shorter silence is no news
 NOTE_EVERY = timedelta(seconds=1)  # between two notes of one upstream host's delay
 
 
@@ -69,7 +70,7 @@
     def drains(self, standing: Standing) -> None: ...
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Standing:
     """A connection that is up: its two sockets, and what is known of its end."""
 
@@ -83,6 +84,7 @@
     first_up: bytes = b""  # read too early, to go on first
     first_down: bytes = b""
     asked: deque[timedelta] = field(default_factory=deque)  # when each unanswered message went up
+    answered: timedelta = NOTHING  # when something last came back
     lock: threading.Lock = field(default_factory=threading.Lock)  # writes to the downstream
     moved: bool = False
     started: bool = False  # the downstream has its first answer: only then can it be told to move
@@ -143,6 +145,8 @@
 
     def _hear(self, messages: list[Message], observer: Observer) -> None:
         for message in messages:
+            if message.kind is Kind.ANSWER:
+                self.answered = now()
             if message.kind is Kind.ANSWER and self.asked:
                 observer.delay(self, now() - self.asked.popleft())
             elif message.kind is Kind.LOAD:
@@ -296,11 +300,13 @@
 class Connections:
     """All standing connections, and the two threads that look after them."""
 
-    def __init__(self, on_mute: Callable[[Standing, timedelta], None]) -> None:
+    def __init__(self, on_mute: Callable[[Standing, timedelta], None],
+                 on_hush: Callable[[Standing, timedelta], None]) -> None:
         self._lock = threading.Lock()
         self._all: dict[str, Standing] = {}
         self._moves: SimpleQueue[str] = SimpleQueue()
         self._on_mute = on_mute
+        self._on_hush = on_hush
         self._stop = threading.Event()
 
     def start(self) -> None:
@@ -332,7 +338,21 @@
 
     def _run_watch(self) -> None:
         while not self._stop.wait(WATCH_EVERY.total_seconds()):
+            hosts: dict[str, list[Standing]] = {}
             for standing in self.all():
-                mute = standing.mute_for()
-                if mute > WATCH_EVERY:
-                    self._on_mute(standing, mute)
+                hosts.setdefault(standing.host, []).append(standing)
+            for held in hosts.values():
+                self._look_at(held)
+
+    def _look_at(self, held: list[Standing]) -> None:
+        """One upstream host's connections: which return nothing, and whether none of them does."""
+        mute = {standing: silent for standing in held if (silent := standing.mute_for()) > NOTED_FROM}
+        if not mute:
+            return
+        first = max(mute, key=lambda standing: mute[standing])
+        answered = max(standing.answered for standing in held)
+        hush = min(mute[first], now() - answered)
+        if hush > NOTED_FROM:
+            self._on_hush(first, hush)
+        for standing, silent in mute.items():
+            self._on_mute(standing, silent)
--- a/bramblestile/process/front.py
+++ b/bramblestile/process/front.py
@@ -37,7 +37,7 @@
         self.counters = counters
         self.cluster = Cluster()
         self.decisions = Decisions(config.settings, config.seed, self.cluster, counters)
-        self.connections = Connections(self.mute)
+        self.connections = Connections(self.mute, self.hush)
         aims = [c.message_aim_us for c in config.settings.classes if c.message_aim_us > 0]
         self.delays = Delays(timedelta(microseconds=min(aims, default=300_000.0) / 3), self._note_delay)
         self.house = House(self.decisions, self.cluster, self.connections, counters, self,
@@ -90,6 +90,9 @@
         self.delays.seen(standing, delay, answered=False)
         self._note(standing, api.NoteKind.SILENCE, delay / MILLISECOND)
 
+    def hush(self, standing: Standing, silent: timedelta) -> None:
+        self._note(standing, api.NoteKind.HUSH, silent / MILLISECOND)
+
     def _note_delay(self, standing: Standing, delay: timedelta) -> None:
         self._note(standing, api.NoteKind.DELAY, delay / MILLISECOND)
 
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -71,6 +71,12 @@
     Stage(wire).play(STANDS + ping + "c1 moved\nb0 ends\nwait moved 1")
 
 
+@BOTH
+def test_a_mute_host_loses_also_the_clients_that_have_not_asked_yet(wire: str) -> None:
+    two = STANDS + "c2 ask\nb0 accept\nb0 taken\nb0 up\nc2 served\n"
+    Stage(wire).play(two + "c1 send PING\nc1 moved\nc2 moved\nwait moved 2")
+
+
 @BOTH
 def test_a_move_waits_for_the_end_of_a_message(wire: str) -> None:
     stage = Stage(wire)
--- a/vanegw/interface.py
+++ b/vanegw/interface.py
@@ -64,11 +64,13 @@
 
 class NoteKind(Enum):
     """LOAD: the connection's load now (us of work a second). DELAY: ms a message takes at the backend.
-    SILENCE: ms for which the backend has returned nothing on this connection, though it was asked to."""
+    SILENCE: ms for which the backend has returned nothing on this connection, though it was asked to.
+    HUSH: the same, but on none of this relay's connections."""
 
     LOAD = 1
     DELAY = 2
     SILENCE = 3
+    HUSH = 4
 
 
 def _check(ok: bool, name: str, value: object) -> None:
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -38,6 +38,7 @@
 DOUBT_SHARE = 0.9  # when more of the sampled fleet than this looks bad, the evidence is doubted instead
 SLOW_LIFE_US = 2_500_000  # slow notes come once a second: two missed and the backend is believed well again
 WORK_OFF_S = 1.0  # a backlog should be worked off within this time: until then nothing is earned there
+HUSH_MS = 1000.0  # a backend that has returned nothing on any connection for so long loses them all
 MUTE_MS = 4000.0  # a connection that has returned nothing for so long is moved
 MOVE_TARGET = 0.85  # a backend whose messages miss their aim sheds what it holds down to this load
 MOVE_EAGERNESS = 0.12  # load that a delay of one message aim counts for: a move costs less than a backlog
@@ -340,6 +341,12 @@
             # Nothing comes back on it: wherever it stood, the client is better off elsewhere.
             self._leave(event.id)
             return
+        if known is not None and event.kind is NoteKind.HUSH and event.value >= HUSH_MS:
+            # It has died without a word: nothing is earned there, and its clients would each find out alone.
+            self._strike(known)
+            for request in list(known.open):
+                self._leave(request)
+            return
         if known is None or flight is None or event.kind is not NoteKind.DELAY or not _sane(event.value):
             return
         aim_s, delay_s, since = flight.cls.message_aim_us / 1e6, event.value / 1000, self.now - known.delay_at
