Shed by reported load, look at held backends every 2 s, and tell refused clients when to come

Checked: raw lines show that echoes come back at once however loaded a host is, and LOAD lines and probes are all that tells; sockets, answers and rules were in time. To blame: only DELAY notes called _relieve, and a frozen host's x0 of 8.6 set the fleet's average over 1, which held tenants back (_report). Now a report over 0.95 sheds (at most every 2 s), hosts that hold connections are asked about every 2 s, a report over 1 counts as 1 in the average, and a refusal names 0.15 to 0.45 of the longest wait at least.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -160,7 +160,7 @@
     for seed in range(20):
         relay = Relay(replace(SETTINGS, list_on_request=True), seed=seed)
         relay.show(*fleet(2), mode=api.ListMode.RESTORED)
-        (timer,) = only(relay.seen, api.SetTimer)
+        (timer,) = [t for t in only(relay.seen, api.SetTimer) if t.token == rules.ASK]
         delays.append(timer.after_us)
         assert only(relay.tell(api.TimerFired(timer.token)), api.Subscribe) == [api.Subscribe()]
         again = only(relay.tell(api.BackendList(api.ListMode.UNAVAILABLE)), api.SetTimer)
@@ -441,3 +441,39 @@
     hush = api.Note(held[0].id, 0, "b0", api.NoteKind.HUSH, rules.HUSH_MS - 1)
     assert relay.tell(hush) == []
     assert relay.tell(replace(hush, value=rules.HUSH_MS)) == [api.Move(a.id) for a in held]
+
+
+def test_a_backend_that_reports_too_much_sheds_without_any_note_of_delay() -> None:
+    """On real sockets lines come back at once however loaded a backend is: only its report tells."""
+    relay = Relay()
+    relay.show(*fleet(2), mode=api.ListMode.RESTORED)
+    (look,) = [t for t in only(relay.seen, api.SetTimer) if t.token == rules.LOOK]
+    held = []
+    for _ in range(40):
+        relay.now += 10_000_000
+        held.append(relay.place())
+        relay.open(held[-1])
+    there = [a for a in held if a.backend == "b0"]
+    relay.loads = {"b0": 8.0}
+    relay.now += 10_000_000
+    moved = only(relay.answer(relay.tell(api.TimerFired(look.token))), api.Move)
+    assert len(moved) >= len(there) / 2 and {m.id for m in moved} <= {a.id for a in there}
+    relay.loads = {"b0": 0.5}
+    relay.now += 10_000_000
+    assert not only(relay.answer(relay.tell(api.TimerFired(look.token))), api.Move)
+
+
+def test_one_overloaded_backend_does_not_make_the_fleet_look_full() -> None:
+    """Seen: a frozen backend's report of 8.6 set the fleet's average over 1, and tenants were held back."""
+    relay = Relay(loads={"b0": 8.6, "b1": 0.3, "b2": 0.3})
+    relay.show(*fleet(3))
+    relay.request()
+    assert relay.balancer.average < rules.PRESSURE
+
+
+def test_a_refused_client_is_told_when_to_come_back() -> None:
+    """Where nothing is late the module used to say 0: the client came again at once and used up its tries."""
+    relay = Relay(replace(SETTINGS, max_retry_after_us=1_000_000), loads={f"b{n}": 1.3 for n in range(3)})
+    relay.show(*fleet(3))
+    waits = [a.retry_after_us for _ in range(50) for a in only(relay.request(), api.Refuse)]
+    assert len(waits) == 50 and min(waits) >= 100_000 and max(waits) <= 1_000_000 and len(set(waits)) > 10
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -30,6 +30,7 @@
 ZONE_AVERSION = 50.0  # weight of another zone is 1 / (1 + this x the price of crossing)
 PATIENCE_LATE = 4.0  # aims added to that, times the share of this relay's attempts that timed out of late
 ONE_CUT_US = 20_000  # connections that one backend cuts within this of each other count as one failure
+REST_SHARE = 0.3  # about this part of the longest wait is what a refused client is told at least
 LATE_SPAN = 4  # attempts over which that share is remembered: a storm is over in seconds
 JAM_REFUSAL = 0.8  # part of arrivals refused when all is late or cut: each adds to it, a few tell its end
 SUSPECT_AIMS = 10  # a backend that failed is masked for so many set-up aims, doubled for each strike
@@ -40,6 +41,9 @@
 WORK_OFF_S = 1.0  # a backlog should be worked off within this time: until then nothing is earned there
 HUSH_MS = 1000.0  # a backend that has returned nothing on any connection for so long loses them all
 MUTE_MS = 4000.0  # a connection that has returned nothing for so long is moved
+OVERLOAD = 0.95  # a backend that reports more than this sheds too, where no message tells its delay
+REPORT_LEAN = 1.25  # how much more load a report counts for: what it shows is some time old, and rising
+RELIEF_EVERY_US = 2_000_000  # but not again before the report can show what the last moves have done
 MOVE_TARGET = 0.85  # a backend whose messages miss their aim sheds what it holds down to this load
 MOVE_EAGERNESS = 0.12  # load that a delay of one message aim counts for: a move costs less than a backlog
 PRESSURE = 0.6  # average load from which a tenant is held to its share
@@ -48,8 +52,9 @@
 MOVE_LEAST = 0.15  # but never below this part: a saturated backend that nobody leaves stays saturated
 COLD_SHARE = 0.5  # part of its fair share, times its warmth, for a cold backend: the rest is left to chance
 ASK_SPREAD_US = 1_000_000  # first subscription within this time, to spread relays that start together
+LOOK_EVERY_US = 2_000_000  # about so often a backend that holds connections is asked for its load
 LOG_EVERY_US = 60_000_000  # between two equal lines for the operator
-ASK, HOLD, LEFT = "ask", "hold ", "left "  # what a timer is for
+ASK, HOLD, LEFT, LOOK = "ask", "hold ", "left ", "look"  # what a timer is for
 FAILURES = (Status.ERROR, Status.NO_ROOM, Status.TIMED_OUT, Status.NO_ROUTE, Status.CUT)
 
 
@@ -124,6 +129,8 @@
                     self._timer(self.settings.drain_grace_us, LEFT + info.name)
         if event.mode is ListMode.RESTORED and self.settings.list_on_request:
             self._ask_in(ASK_SPREAD_US)
+        if event.mode is ListMode.RESTORED and self.settings.may_probe and self.settings.reports_load:
+            self._timer(int(LOOK_EVERY_US * (0.5 + self.random.random())), LOOK)
 
     def _ask_in(self, within_us: int) -> None:
         """Relays that start or fail together must not ask together: the list serves few calls a second."""
@@ -359,6 +366,7 @@
         """Nothing is earned where messages miss their aim: what is too much there moves off. A backlog grows
         by the load over 1, so the delay's rise from note to note tells the load, sooner than a report."""
         # In a full fleet the moved come back as a storm of set-ups and find no better place.
+        known.relieved_at = self.now
         room = min(1.0, max(MOVE_LEAST, (self.full - self.average) * MOVE_ROOM))
         part = room * (1 - MOVE_TARGET / load)
         for request in list(known.open):
@@ -417,7 +425,9 @@
         harmless = (flight.ran_on is None or cls.effect is api.Effect.SAFE
                     or (cls.effect is api.Effect.KEYED and cls.dedup_scope is Scope.ALL))
         self._drop(flight.request.id)
-        wait = int(self.settings.max_retry_after_us * self.lateness)
+        # Never at once: what was in the way now will not have gone, and a client has few tries.
+        share = max(self.lateness, REST_SHARE * (0.5 + self.random.random()))
+        wait = int(self.settings.max_retry_after_us * min(1.0, share))
         self.actions.append(api.Refuse(flight.request.id, wait) if harmless else api.Fail(flight.request.id))
 
     def _drop(self, request: str) -> Flight | None:
@@ -458,13 +468,24 @@
                 known.load, known.load_at, known.placed = value, self.now, 0
                 known.backlog_s = report.backlog_s if report.backlog_s and _sane(report.backlog_s) else 0.0
                 self.reports = min(self.reports + 1, AVERAGE_SPAN)
-                self.average += (value - self.average) / self.reports
+                # A slowed backend reports many times what it can do: to the fleet it is no more than full.
+                counted = min(value, 1.0) if self.full == FULL_LOAD else value
+                self.average += (counted - self.average) / self.reports
+                rested = self.now - known.relieved_at >= RELIEF_EVERY_US
+                if self.full == FULL_LOAD and value > OVERLOAD and rested:
+                    self._relieve(known, value * REPORT_LEAN)
                 return
 
     def _on_timer(self, event: api.TimerFired) -> None:
         if event.token == ASK:
             self.actions.append(api.Subscribe())
             return
+        if event.token == LOOK:
+            for known in self.backends.values():
+                if known.open and known.info.state is State.RUNNING:
+                    self._probe(known)
+            self._timer(int(LOOK_EVERY_US * (0.5 + self.random.random())), LOOK)
+            return
         drained = self.backends.get(event.token.removeprefix(LEFT)) if event.token.startswith(LEFT) else None
         if drained is not None and drained.info.state is State.DRAINING:
             for request in list(drained.open):
--- a/vanegw/state.py
+++ b/vanegw/state.py
@@ -26,6 +26,7 @@
     delay_s: float = 0.0  # seconds that a message took there at the last note
     delay_at: int = 0
     cut_at: float = -math.inf  # when it last cut a standing connection
+    relieved_at: float = -math.inf  # when connections were last moved off it for its load
     probed_at: int | None = None  # when the probe that is out was sent
     open: dict[str, None] = field(default_factory=dict)  # own connections, in order
     tag: int = field(init=False)  # a number made from the name, the same at every relay
