Start looking at loads when the first connection stands, as the adapter's tests expect

Seen: the commit before failed test_adapter: a timer was set with the restored list. Nothing stands then.

--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -80,6 +80,7 @@
         self.logged: dict[str, int] = {}
         self.full = FULL_LOAD
         self.standing = 0
+        self.looking = False  # a timer for the next look is set
         self.quotas = {t.name: t.quota_connections for t in settings.tenants if t.quota_connections > 0}
         self.held: Counter[str | None] = Counter()  # own standing connections of each tenant
         self.lateness = 0.0  # share of the latest attempts that timed out
@@ -129,8 +130,6 @@
                     self._timer(self.settings.drain_grace_us, LEFT + info.name)
         if event.mode is ListMode.RESTORED and self.settings.list_on_request:
             self._ask_in(ASK_SPREAD_US)
-        if event.mode is ListMode.RESTORED and self.settings.may_probe and self.settings.reports_load:
-            self._timer(int(LOOK_EVERY_US * (0.5 + self.random.random())), LOOK)
 
     def _ask_in(self, within_us: int) -> None:
         """Relays that start or fail together must not ask together: the list serves few calls a second."""
@@ -150,6 +149,13 @@
     def _stand(self, flight: Flight, change: int) -> None:
         self.standing += change
         self.held[flight.request.tenant] += change
+        self._look_later()
+
+    def _look_later(self) -> None:
+        """While connections stand, the load of the backends that hold them is looked at now and then."""
+        if self.standing and not self.looking and self.settings.may_probe and self.settings.reports_load:
+            self.looking = True
+            self._timer(int(LOOK_EVERY_US * (0.5 + self.random.random())), LOOK)
 
     def _beyond_share(self, tenant: str | None) -> bool:
         """Under pressure a tenant that holds more than its share waits: what is beyond it is worth little and
@@ -484,7 +490,8 @@
             for known in self.backends.values():
                 if known.open and known.info.state is State.RUNNING:
                     self._probe(known)
-            self._timer(int(LOOK_EVERY_US * (0.5 + self.random.random())), LOOK)
+            self.looking = False
+            self._look_later()
             return
         drained = self.backends.get(event.token.removeprefix(LEFT)) if event.token.startswith(LEFT) else None
         if drained is not None and drained.info.state is State.DRAINING:
