Answer and read agent-check and HTTP health; lay a host's own word over the list

Answering is set up by [health], reading by [nats.checks] or [checks] in an operator's file; both are off on the platform. An opinion is kept beside what discovery lists and goes with a new start of the host. Seen in a test: a host's ldm INFO could be overtaken by the move that it caused; messages are now heard after they have gone on (connections.py, _pass_down). Seen too: a digit that is no ASCII digit ended a check's thread.

--- a/bramblestile/memory/cluster.py
+++ b/bramblestile/memory/cluster.py
@@ -26,39 +26,58 @@
 
 
 class Cluster:
-    """Nothing is ever sent to an upstream host that is not in here."""
+    """Nothing is ever sent to an upstream host that is not in here. An opinion, which a check or the host
+    itself gives, is laid over what discovery lists until it is taken back or the host starts anew."""
 
-    def __init__(self, version: int = 0) -> None:
+    def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._hosts: dict[str, UpstreamHost] = {}
-        self.version = version
+        self._listed: dict[str, UpstreamHost] = {}
+        self._opinions: dict[str, tuple[bool, float]] = {}  # takes work, share of the listed weight
 
-    def apply(self, mode: ListMode, hosts: Sequence[UpstreamHost]) -> None:
+    def apply(self, mode: ListMode, hosts: Sequence[UpstreamHost]) -> list[UpstreamHost]:
+        """Takes discovery's news; returns them as the decisions are to hear them."""
         with self._lock:
             if mode is not ListMode.CHANGES:
-                self._hosts = {}
+                kept = {host.id: host for host in hosts}
+                self._opinions = {n: o for n, o in self._opinions.items() if n in kept}
+                self._listed = {n: h for n, h in self._listed.items() if n in kept}
             for host in hosts:
+                old = self._listed.get(host.id)
+                if host.state is State.GONE or (old is not None and old.born != host.born):
+                    self._opinions.pop(host.id, None)
                 if host.state is State.GONE:
-                    self._hosts.pop(host.id, None)
+                    self._listed.pop(host.id, None)
                 else:
-                    self._hosts[host.id] = host
+                    self._listed[host.id] = host
+            return [self._seen(host) for host in hosts]
+
+    def opine(self, name: str, takes_work: bool | None, share: float | None = None) -> UpstreamHost | None:
+        """Takes an opinion; returns the host where it changes how it is seen."""
+        with self._lock:
+            host = self._listed.get(name)
+            if host is None:
+                return None
+            before, (works, part) = self._seen(host), self._opinions.get(name, (True, 1.0))
+            works = works if takes_work is None else takes_work
+            self._opinions[name] = (works, part if share is None else share)
+            after = self._seen(host)
+            return after if after != before else None
+
+    def _seen(self, host: UpstreamHost) -> UpstreamHost:
+        takes_work, share = self._opinions.get(host.id, (True, 1.0))
+        state = State.DRAINING if host.state is State.RUNNING and not takes_work else host.state
+        return replace(host, state=state, weight=host.weight * share)
 
     def find(self, name: str) -> UpstreamHost | None:
         with self._lock:
-            return self._hosts.get(name)
+            host = self._listed.get(name)
+            return None if host is None else self._seen(host)
 
     def hosts(self) -> list[UpstreamHost]:
         with self._lock:
-            return list(self._hosts.values())
+            return [self._seen(host) for host in self._listed.values()]
 
     def takes_work(self, host: UpstreamHost) -> bool:
         """Still the same start of the same host, and neither draining nor gone."""
         held = self.find(host.id)
         return held is not None and held.state is State.RUNNING and held.born == host.born
-
-    def draining(self, name: str) -> UpstreamHost | None:
-        """The entry with its state changed, for a host that says itself that it drains."""
-        host = self.find(name)
-        if host is None or host.state is not State.RUNNING:
-            return None
-        return replace(host, state=State.DRAINING)
--- a/bramblestile/memory/connections.py
+++ b/bramblestile/memory/connections.py
@@ -137,8 +137,9 @@
             passed, messages = self.from_upstream.feed(view[:have])
             if passed == 0 and have == len(buffer):
                 passed = have  # longer than any message may be: not ours to judge
-            self._hear(messages, observer)
-            if not self._write_down(view[:passed]):
+            goes_on = self._write_down(view[:passed])
+            self._hear(messages, observer)  # afterwards: what it leads to, a move say, must not overtake it
+            if not goes_on:
                 return
             buffer[:have - passed] = buffer[passed:have]
             have -= passed
--- a/bramblestile/memory/decisions.py
+++ b/bramblestile/memory/decisions.py
@@ -83,9 +83,15 @@
 
     def list(self, mode: api.ListMode, hosts: Sequence[UpstreamHost]) -> None:
         """News of the cluster. The addresses come first: the module may choose a new host at once."""
-        if mode is not api.ListMode.UNAVAILABLE:
-            self._cluster.apply(mode, hosts)
-        self.tell(api.BackendList(mode, tuple(backend(h) for h in hosts)))
+        seen = [] if mode is api.ListMode.UNAVAILABLE else self._cluster.apply(mode, hosts)
+        self.tell(api.BackendList(mode, tuple(backend(h) for h in seen)))
+
+    def opine(self, name: str, takes_work: bool | None, share: float | None = None) -> bool:
+        """What a check, or the host itself, says of a host. True where it is news."""
+        host = self._cluster.opine(name, takes_work, share)
+        if host is not None:
+            self.tell(api.BackendList(api.ListMode.CHANGES, (backend(host),)))
+        return host is not None
 
     def tell(self, event: api.Event) -> None:
         later: list[api.Action] = []
--- a/bramblestile/process/config.py
+++ b/bramblestile/process/config.py
@@ -15,13 +15,14 @@
 from typing import Any
 
 from bramblestile.memory.cluster import UpstreamHost
-from bramblestile.wire import discovery, nats
+from bramblestile.wire import agent, discovery, nats
 from bramblestile.wire.sockets import Address
 from vanegw import interface as api
 from vanegw import wire as settings_form
 
 CONNECT_WITHIN = timedelta(milliseconds=250)
 PROBE_WITHIN = timedelta(milliseconds=500)
+CHECK_EVERY = timedelta(seconds=2)
 
 
 class ConfigError(Exception):
@@ -41,6 +42,8 @@
     settings: api.Settings
     connect_within: timedelta = CONNECT_WITHIN
     probe_within: timedelta = PROBE_WITHIN
+    checks: Mapping[str, agent.Check] = field(default_factory=dict)
+    check_every: timedelta = CHECK_EVERY
 
 
 @dataclass(slots=True, frozen=True)
@@ -48,10 +51,20 @@
     greeting: nats.Greeting = field(kw_only=True)
 
 
+@dataclass(slots=True, frozen=True)
+class HealthConfig:
+    """Where this balancer answers for its own health; None: off."""
+
+    agent: Address | None = None
+    http: Address | None = None
+    path: str = "/healthz"
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     lines: FrontConfig | None  # the platform's front; None: off
     nats: NatsConfig | None
+    health: HealthConfig = field(default_factory=HealthConfig)
 
 
 class Section:
@@ -132,9 +145,37 @@
         seed=_seed(top), known_version=known.integer("seq", 0), known=hosts, settings=_settings(owner),
         connect_within=limits.micros("connect_timeout_us", CONNECT_WITHIN),
         probe_within=spans.micros("probe_us", PROBE_WITHIN),
+        checks=_checks(at.section("checks"), {h.id for h in hosts}),
+        check_every=spans.micros("check_us", CHECK_EVERY, 10_000),
     )
 
 
+def _checks(at: Section, known: set[str]) -> dict[str, agent.Check]:
+    """For each upstream host its agent's address, or ``http`` and ``path``."""
+    made = {}
+    for name in at.values:
+        one = at.section(name)
+        if name not in known:
+            raise ConfigError(f"{one.path}: no upstream host of this name is listed")
+        if one.has("agent") == one.has("http"):
+            raise ConfigError(f"{one.path}: agent or http, one of the two")
+        made[name] = (agent.Check(one.address("agent")) if one.has("agent")
+                      else agent.Check(one.address("http"), _path(one)))
+    return made
+
+
+def _path(at: Section) -> str:
+    path = at.text("path", "/healthz")
+    if not path.startswith("/") or any(c.isspace() for c in path):
+        raise ConfigError(f"{at.key('path')}: {path!r} is not a path")
+    return path
+
+
+def _health(at: Section) -> HealthConfig:
+    return HealthConfig(at.address("agent") if at.has("agent") else None,
+                        at.address("http") if at.has("http") else None, _path(at))
+
+
 def _nats(top: Section) -> NatsConfig:
     at = top.section("nats")
     front = _front(top, at)
@@ -161,7 +202,8 @@
     top = Section({**given, **values})
     if not top.has("listen") and not top.has("nats"):
         raise ConfigError("listen: missing, and there is no other front")
-    return Config(_front(top, top) if top.has("listen") else None, _nats(top) if top.has("nats") else None)
+    return Config(_front(top, top) if top.has("listen") else None, _nats(top) if top.has("nats") else None,
+                  _health(top.section("health")))
 
 
 def load(arguments: list[str], environment: Mapping[str, str]) -> Config:
--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -14,6 +14,8 @@
 from bramblestile.memory.counters import Counters
 from bramblestile.process.config import Config, ConfigError, load
 from bramblestile.process.front import Front, LineFront, NatsFront, log
+from bramblestile.process.listeners import Listener
+from bramblestile.wire import agent
 
 STACK = 192 * 1024  # bytes; two threads for each standing connection must fit the memory limit
 STILL_COMING = timedelta(milliseconds=600)  # after SIGTERM the front goes on sending for up to 0.4 s
@@ -26,6 +28,9 @@
 
     def __init__(self, config: Config) -> None:
         self.counters = Counters()
+        self.leaving = False
+        self.health = config.health
+        self.told_at: dict[str, Listener] = {}  # where the health protocols are answered
         self.fronts: list[Front] = []
         if config.lines is not None:
             self.fronts.append(LineFront(config.lines, self.counters))
@@ -35,10 +40,23 @@
     def start(self) -> None:
         for front in self.fronts:
             front.start()
+        asked = ((self.health.agent, "agent_check", lambda sock: agent.answer_agent(sock, self.is_well)),
+                 (self.health.http, "health", lambda sock: agent.answer_http(sock, self.is_well,
+                                                                           self.health.path)))
+        for address, name, answer in asked:
+            if address is not None:
+                self.told_at[name] = Listener(address, answer, self.counters, name)
+                self.told_at[name].start()
+
+    def is_well(self) -> agent.Health:
+        """What other balancers are told of this one."""
+        share = max((front.share_of_hosts() for front in self.fronts), default=0.0)
+        return agent.Health(takes_work=share > 0, leaving=self.leaving, share=share)
 
     def stop(self) -> None:
         """Takes what the front still sends, answers it, moves all that stands, and returns in time."""
         began = now()
+        self.leaving = True  # said at once; what still comes is taken
         time.sleep(STILL_COMING.total_seconds())
         listeners = [front.listener for front in self.fronts if front.listener is not None]
         for listener in listeners:
--- a/bramblestile/process/front.py
+++ b/bramblestile/process/front.py
@@ -4,6 +4,8 @@
 
 import socket
 import sys
+import threading
+import time
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -15,11 +17,14 @@
 from bramblestile.process.config import FrontConfig, NatsConfig
 from bramblestile.process.listeners import Listener
 from bramblestile.wire import lines, nats, sockets
+from bramblestile.wire.agent import Opinion
+from bramblestile.wire.checks import Checks
 from bramblestile.wire.discovery import Watch
 from bramblestile.wire.probes import Ask, Probes
 from vanegw import interface as api
 
 FIRST_LINE = timedelta(seconds=30)  # for a downstream that has connected and says nothing
+LOOK_AGAIN = timedelta(seconds=1)  # between two looks at a NATS host that has said that it drains
 MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -56,6 +61,7 @@
         self.decisions.start()
         self.connections.start()
         self.decisions.list(api.ListMode.RESTORED, self.config.known)
+        Checks(self.config.checks, self.config.check_every, self.checked, self.counters).start()
         self.listener = Listener(self.config.listen, self.serve, self.counters, self.name)
         self.listener.start()
 
@@ -98,10 +104,18 @@
 
     def host_drains(self, name: str) -> None:
         """An upstream host's own word that it drains counts like discovery's."""
-        host = self.cluster.draining(name)
-        if host is not None:
+        if self.decisions.opine(name, takes_work=False):
             self.counters.add("told_draining_by_host")
-            self.decisions.list(api.ListMode.CHANGES, (host,))
+
+    def checked(self, name: str, opinion: Opinion) -> None:
+        if self.decisions.opine(name, opinion.takes_work, opinion.share):
+            self.counters.add("checks_changed_a_host")
+            log(f"{self.name}: {name}: check says {opinion}")
+
+    def share_of_hosts(self) -> float:
+        """The part of the listed upstream hosts that takes work."""
+        hosts = self.cluster.hosts()
+        return sum(h.state is api.State.RUNNING for h in hosts) / len(hosts) if hosts else 0.0
 
 
 class LineFront(Front):
@@ -134,12 +148,46 @@
         live(self.house, lines.LineDownstream(sock, reader, asked, head), asked)
 
 
+class _Names:
+    """A set that tells, in one step, whether a name is new to it."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._names: set[str] = set()
+
+    def add_new(self, name: str) -> bool:
+        with self._lock:
+            if name in self._names:
+                return False
+            self._names.add(name)
+            return True
+
+    def discard(self, name: str) -> None:
+        with self._lock:
+            self._names.discard(name)
+
+
 class NatsFront(Front):
     """The NATS client protocol."""
 
     name = "nats"
 
+    def host_drains(self, name: str) -> None:
+        """A host that has no check is asked for its INFO until it drains no more: no list may ever tell."""
+        super().host_drains(name)
+        if name not in self.config.checks and self._watched.add_new(name):
+            threading.Thread(target=self._look_again, args=(name,), name="ldm " + name, daemon=True).start()
+
+    def _look_again(self, name: str) -> None:
+        while (host := self.cluster.find(name)) is not None and host.state is not api.State.RUNNING:
+            time.sleep(LOOK_AGAIN.total_seconds())
+            if nats.drains_no_more(host.address, self.config.probe_within):
+                self.decisions.opine(name, takes_work=True)
+                break
+        self._watched.discard(name)
+
     def __init__(self, config: NatsConfig, counters: Counters) -> None:
+        self._watched = _Names()
         super().__init__(config, counters)
         self.greeting = config.greeting
         self.waits = {c.name: timedelta(microseconds=c.deadline_us) for c in config.settings.classes}
--- /dev/null
+++ b/bramblestile/wire/checks.py
@@ -0,0 +1,50 @@
+"""Checks the upstream hosts that have an agent or a health path, one thread a host."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+
+from bramblestile.memory.counters import Counters
+from bramblestile.wire import agent
+from bramblestile.wire.agent import Check, Opinion
+
+FALL = 3  # failed checks in a row after which a host is taken for down
+RISE = 2  # sound ones in a row after which it is believed again
+WITHIN = timedelta(seconds=1)
+
+
+class Checks:
+    def __init__(self, checks: Mapping[str, Check], every: timedelta, tell: Callable[[str, Opinion], None],
+                 counters: Counters) -> None:
+        self._checks = checks
+        self._every = every
+        self._tell = tell
+        self._counters = counters
+
+    def start(self) -> None:
+        for name, check in self._checks.items():
+            threading.Thread(target=self._run, args=(name, check), name="check " + name, daemon=True).start()
+
+    def _run(self, name: str, check: Check) -> None:
+        failed, sound, down = 0, 0, False
+        while True:
+            try:
+                opinion = agent.ask(check, min(WITHIN, self._every))
+                failed, sound = 0, sound + 1
+                self._counters.add("checks_sound")
+                # An agent that answers says what it says at once; a host that was down must prove itself.
+                if not down or sound >= RISE:
+                    if down and opinion.takes_work is None:
+                        opinion = Opinion(True, opinion.share)
+                    down = False
+                    self._tell(name, opinion)
+            except OSError:
+                failed, sound = failed + 1, 0
+                self._counters.add("checks_failed")
+                if failed >= FALL and not down:
+                    down = True
+                    self._tell(name, Opinion(takes_work=False))
+            time.sleep(self._every.total_seconds())
--- a/bramblestile/wire/discovery.py
+++ b/bramblestile/wire/discovery.py
@@ -27,7 +27,7 @@
 
 def address(value: str) -> Address:
     host, colon, port = value.rpartition(":")
-    if not colon or not host or not port.isdigit() or int(port) > 65535:
+    if not colon or not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
         raise ValueError(f"{value!r} is not HOST:PORT")
     return host.strip("[]"), int(port)
 
--- a/bramblestile/wire/nats.py
+++ b/bramblestile/wire/nats.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import socket
 import uuid
@@ -127,6 +128,16 @@
     return Status.NO_ROOM if b"maximum" in said and b"connections exceeded" in said else Status.ERROR
 
 
+def drains_no_more(address: Address, within: timedelta) -> bool:
+    """Reads a host's INFO, sends nothing, and leaves."""
+    try:
+        with contextlib.closing(sockets.dial(address, within)) as sock:
+            line = LineReader(sock, LONGEST * 4).line(within)
+            return line is not None and bytes(line[:4]).upper() == b"INFO" and not is_ldm(bytes(line))
+    except (OSError, sockets.OverlongError):
+        return False
+
+
 class NatsFramer:
     """Follows one direction, over split and joined reads, through payloads that may hold any bytes."""
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -84,7 +84,7 @@
     """The program with one front, its stand-in upstream hosts, and the downstreams of a scenario."""
 
     def __init__(self, wire: str = "lines", hosts: int = 1, discovery: socket.socket | None = None,
-                 **limits: Any) -> None:
+                 check: str | None = None, **limits: Any) -> None:
         self.wire = wire
         self.listening = {f"b{n}": socket.create_server(("127.0.0.1", 0)) for n in range(hosts)}
         self.peers: dict[str, Peer] = {}
@@ -102,18 +102,23 @@
                           "fall_us": 3_000_000},
                 "limits": {"probes": False, "may_cancel": True, "try_limit": 1, "retry_after": True,
                            "max_retry_after_us": 1_000_000, "connect_timeout_us": 250_000} | limits}}
+        checks = {}
+        if check is not None:  # 'agent' or 'http': b0's, played by the actor a0
+            self.listening["a0"] = socket.create_server(("127.0.0.1", 0))
+            checks = {"b0": {check: "{}:{}".format(*self.listening["a0"].getsockname())}}
+            values["spans"] = {"check_us": 20_000}
         if discovery is not None:
             values["discovery"] = "{}:{}".format(*discovery.getsockname())
             self.listening["d"] = discovery
         self.counters = Counters()
         self.front: Front
         if wire == "lines":
-            made = config.read(values | {"listen": "127.0.0.1:0"}).lines
+            made = config.read(values | {"listen": "127.0.0.1:0", "checks": checks}).lines
             assert made is not None
             self.front = LineFront(made, self.counters)
         else:
-            more = {"listen": "127.0.0.1:0", "known": values.pop("known"), "max_payload": 100,
-                    "users": {"once": {"class": "once"}}}
+            more = {"listen": "127.0.0.1:0", "checks": checks, "known": values.pop("known"),
+                    "max_payload": 100, "users": {"once": {"class": "once"}}}
             got = config.read(values | {"nats": more}).nats
             assert got is not None
             self.front = NatsFront(got, self.counters)
--- a/tests/test_nats.py
+++ b/tests/test_nats.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 import pytest
 
+from bramblestile.process import front
 from tests.scenario import Stage
 
 UP = "c1 ask\nb0 taken\nb0 up\nc1 served\n"
@@ -57,3 +60,20 @@
 
 def test_silence_before_connect_is_answered() -> None:
     Stage("nats").play("c1 expect INFO *\nc1 raw CONN\nc1 expect -ERR 'Authentication Timeout'\nc1 ends")
+
+
+def test_a_host_that_drains_no_more_is_used_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """No list may ever tell of a fixed host's restart: its INFO does."""
+    monkeypatch.setattr(front, "LOOK_AGAIN", timedelta(milliseconds=20))
+    Stage("nats").play("""c1 ask
+        b0 send INFO {"ldm":true}
+        c1 refused
+        b0 accept
+        b0 send INFO {"ldm":true}
+        b0 accept
+        b0 send INFO {}
+        b0 ends
+        c2 ask
+        b0 taken
+        b0 up
+        c2 served""")
