--- a/bramblestile/wire/lines.py
+++ b/bramblestile/wire/lines.py
@@ -149,7 +149,9 @@
         if not may_send():
             return NotUp(Status.NO_ROUTE)
         try:
-            sockets.write(upstream, self._head.parts(until - now()))
+            # A bound connection's line goes as it came: the host knows it by what it was.
+            bound = self._asked.bound_to is not None
+            sockets.write(upstream, [self._head.line] if bound else self._head.parts(until - now()))
         except OSError:
             return NotUp(Status.NO_ROUTE)  # broke before the last byte was written: it never ran
         reader = LineReader(upstream, LONGEST)
