--- a/bramblestile/process/config.py
+++ b/bramblestile/process/config.py
@@ -60,11 +60,22 @@
     path: str = "/healthz"
 
 
+@dataclass(slots=True, frozen=True)
+class StoreConfig:
+    """This peer of the replicated store, and all its peers, itself among them."""
+
+    name: str
+    peers: Mapping[str, Address]
+    directory: Path
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     lines: FrontConfig | None  # the platform's front; None: off
     nats: NatsConfig | None
     health: HealthConfig = field(default_factory=HealthConfig)
+    store: StoreConfig | None = None
+    seed: int = 0
 
 
 class Section:
@@ -176,6 +187,20 @@
                         at.address("http") if at.has("http") else None, _path(at))
 
 
+def _store(at: Section) -> StoreConfig:
+    table = at.section("peers")
+    peers = {name: table.address(name) for name in table.values}
+    name, directory = at.text("name"), Path(at.text("directory"))
+    if name not in peers:
+        raise ConfigError(f"{at.key('name')}: {name!r} is none of {sorted(peers)}")
+    for peer, (host, _) in peers.items():
+        if not host.startswith("127."):  # nothing proves who a peer is: none from elsewhere may vote
+            raise ConfigError(f"{table.key(peer)}: {host!r} is no loopback address")
+    if not directory.is_dir():
+        raise ConfigError(f"{at.key('directory')}: {str(directory)!r} is no folder")
+    return StoreConfig(name, peers, directory)
+
+
 def _nats(top: Section) -> NatsConfig:
     at = top.section("nats")
     front = _front(top, at)
@@ -203,7 +228,8 @@
     if not top.has("listen") and not top.has("nats"):
         raise ConfigError("listen: missing, and there is no other front")
     return Config(_front(top, top) if top.has("listen") else None, _nats(top) if top.has("nats") else None,
-                  _health(top.section("health")))
+                  _health(top.section("health")), _store(top.section("store")) if top.has("store") else None,
+                  _seed(top))
 
 
 def load(arguments: list[str], environment: Mapping[str, str]) -> Config:
--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -4,18 +4,22 @@
 
 import os
 import signal
+import socket
 import sys
 import threading
 import time
 from datetime import timedelta
+from random import Random
 
 from bramblestile.clock import now
 from bramblestile.memory.connections import Standing
 from bramblestile.memory.counters import Counters
-from bramblestile.process.config import Config, ConfigError, load
+from bramblestile.memory.store import Journal, Replica, Store
+from bramblestile.process.config import Config, ConfigError, StoreConfig, load
 from bramblestile.process.front import Front, LineFront, NatsFront, log
 from bramblestile.process.listeners import Listener
-from bramblestile.wire import agent
+from bramblestile.wire import agent, peers
+from bramblestile.wire.peers import Peers
 
 STACK = 192 * 1024  # bytes; two threads for each standing connection must fit the memory limit
 STILL_COMING = timedelta(milliseconds=600)  # after SIGTERM the front goes on sending for up to 0.4 s
@@ -29,6 +33,12 @@
     def __init__(self, config: Config) -> None:
         self.counters = Counters()
         self.leaving = False
+        self.stopping = threading.Event()
+        self.peers: Peers | None = None
+        self.store: Store | None = None
+        if config.store is not None:
+            self._make_store(config.store, config.seed)
+        self.config = config
         self.health = config.health
         self.told_at: dict[str, Listener] = {}  # where the health protocols are answered
         self.fronts: list[Front] = []
@@ -40,6 +50,8 @@
     def start(self) -> None:
         for front in self.fronts:
             front.start()
+        if self.config.store is not None and self.store is not None and self.peers is not None:
+            self._start_store(self.config.store, self.store, self.peers)
         asked = ((self.health.agent, "agent_check", lambda sock: agent.answer_agent(sock, self.is_well)),
                  (self.health.http, "health", lambda sock: agent.answer_http(sock, self.is_well,
                                                                            self.health.path)))
@@ -48,6 +60,35 @@
                 self.told_at[name] = Listener(address, answer, self.counters, name)
                 self.told_at[name].start()
 
+    def _make_store(self, made: StoreConfig, seed: int) -> None:
+        self.peers = Peers(made.peers, made.name, self.counters)
+        journal = Journal(made.directory / f"{made.name}.journal")
+        replica = Replica(made.name, list(made.peers), journal, Random(f"{seed} {made.name}"), now())
+        self.store = Store(replica, self.peers.send, self.stored)
+
+    def _start_store(self, made: StoreConfig, store: Store, ways: Peers) -> None:
+        def serve(sock: socket.socket) -> None:
+            peers.serve(sock, store, made.peers, self.counters)
+
+        listener = Listener(made.peers[made.name], serve, self.counters, "store")
+        self.told_at["store"] = listener
+        listener.start()
+        ways.start()
+        store.start()
+
+    def stored(self, key: str, value: str) -> None:
+        """What the peers agree on. ``hosts/NAME`` holds an agent-check's words for that upstream host."""
+        kind, _, name = key.partition("/")
+        if kind == "hosts":
+            for front in self.fronts:
+                front.checked(name, agent.parse_agent(value))
+
+    def stop_store(self) -> None:
+        if self.store is not None and self.peers is not None:
+            self.told_at["store"].stop()
+            self.peers.stop()
+            self.store.stop()
+
     def is_well(self) -> agent.Health:
         """What other balancers are told of this one."""
         share = max((front.share_of_hosts() for front in self.fronts), default=0.0)
@@ -56,6 +97,7 @@
     def stop(self) -> None:
         """Takes what the front still sends, answers it, moves all that stands, and returns in time."""
         began = now()
+        self.stop_store()
         self.leaving = True  # said at once; what still comes is taken
         time.sleep(STILL_COMING.total_seconds())
         listeners = [front.listener for front in self.fronts if front.listener is not None]
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -23,6 +23,7 @@
     "listen": "127.0.0.1:0", "discovery": "127.0.0.1:8500", "settings": SETTINGS,
     "known": {"seq": 4, "hosts": [{"host": "a", "dial": "127.0.0.1:1", "health": "in_service"}]},
     "nats": {"listen": "127.0.0.1:0"},
+    "store": {"name": "p1", "directory": ".", "peers": {"p1": "127.0.0.1:4"}},
 }
 
 
@@ -44,8 +45,11 @@
 @pytest.mark.parametrize(("path", "value"), [
     ("listen", "nowhere"), ("discovery", "1.2.3.4:99999"), ("seed", "xyz"), ("settings", None),
     ("settings.classes", []), ("known.seq", -1), ("known.seq", 1.5), ("known.hosts", [{"host": "a"}]),
-    ("settings.limits.connect_timeout_us", "soon"), ("spans.probe_us", 0), ("nats.listen", None),
-    ("nats.max_payload", 0), ("nats.users.x", 5), ("nats.default.class", "unheard-of"),
+    ("settings.limits.connect_timeout_us", "soon"), ("spans.probe_us", 0),
+    ("nats.listen", None), ("nats.max_payload", 0), ("nats.users.x", 5), ("nats.default.class", "unheard-of"),
+    ("checks.b", {"agent": "127.0.0.1:1"}), ("checks.a", {}),
+    ("health.path", "no slash"), ("health.agent", 7),
+    ("store.directory", "nowhere"), ("store.name", "stranger"), ("store.peers.p9", "10.0.0.1:1"),
 ])
 def test_a_message_names_the_faulty_key(path: str, value: object) -> None:
     values = copy.deepcopy(GOOD)
