Stop a front's checks and watch with it, so that no test is asked by an earlier one

Seen: with three runs of the tests at once one of three failed; a host stand-in was asked 'GET /healthz' by the checks of an earlier test, whose agent's port it had got. To blame: Checks and Watch had no end.

--- a/bramblestile/process/front.py
+++ b/bramblestile/process/front.py
@@ -5,7 +5,6 @@
 import socket
 import sys
 import threading
-import time
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -50,7 +49,9 @@
         self.probes = Probes(self.cluster, self.prober, config.probe_within, self.decisions.tell, counters)
         self.watch = None if config.discovery is None else Watch(
             config.discovery, config.known_version, self.decisions.list, log)
+        self.checks = Checks(config.checks, config.check_every, self.checked, counters)
         self.listener: Listener | None = None
+        self.stopped = threading.Event()
 
     def start(self) -> None:
         self.decisions.on_probe = self.probes.ask
@@ -61,10 +62,19 @@
         self.decisions.start()
         self.connections.start()
         self.decisions.list(api.ListMode.RESTORED, self.config.known)
-        Checks(self.config.checks, self.config.check_every, self.checked, self.counters).start()
+        self.checks.start()
         self.listener = Listener(self.config.listen, self.serve, self.counters, self.name)
         self.listener.start()
 
+    def stop(self) -> None:
+        """Asks nobody anything more and accepts nothing more; what stands is not touched."""
+        self.stopped.set()
+        self.checks.stop()
+        if self.watch is not None:
+            self.watch.stop()
+        if self.listener is not None:
+            self.listener.stop()
+
     def prober(self) -> tuple[Ask, Callable[[], None]]:
         raise NotImplementedError
 
@@ -180,7 +190,8 @@
 
     def _look_again(self, name: str) -> None:
         while (host := self.cluster.find(name)) is not None and host.state is not api.State.RUNNING:
-            time.sleep(LOOK_AGAIN.total_seconds())
+            if self.stopped.wait(LOOK_AGAIN.total_seconds()):
+                return
             if nats.drains_no_more(host.address, self.config.probe_within):
                 self.decisions.opine(name, takes_work=True)
                 break
--- a/bramblestile/wire/checks.py
+++ b/bramblestile/wire/checks.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 
@@ -23,6 +22,7 @@
         self._every = every
         self._tell = tell
         self._counters = counters
+        self._stopped = threading.Event()
 
     def start(self) -> None:
         for name, check in self._checks.items():
@@ -30,7 +30,7 @@
 
     def _run(self, name: str, check: Check) -> None:
         failed, sound, down = 0, 0, False
-        while True:
+        while not self._stopped.is_set():
             try:
                 opinion = agent.ask(check, min(WITHIN, self._every))
                 failed, sound = 0, sound + 1
@@ -47,4 +47,7 @@
                 if failed >= FALL and not down:
                     down = True
                     self._tell(name, Opinion(takes_work=False))
-            time.sleep(self._every.total_seconds())
+            self._stopped.wait(self._every.total_seconds())
+
+    def stop(self) -> None:
+        self._stopped.set()
--- a/bramblestile/wire/discovery.py
+++ b/bramblestile/wire/discovery.py
@@ -66,6 +66,7 @@
         self._to = to
         self._sock: socket.socket | None = None
         self._reader: LineReader | None = None
+        self._ended = False
 
     def get(self, path: str, within: timedelta) -> tuple[int, bytes]:
         """Status and body. OSError when nothing usable comes in time; the connection is then given up."""
@@ -90,6 +91,8 @@
             raise
 
     def _get(self, path: str, until: timedelta) -> tuple[int, bytes]:
+        if self._ended:
+            raise ConnectionAbortedError("stopped")
         if self._sock is None:
             self._sock = sockets.dial(self._to, min(until - now(), SLACK))
             self._reader = LineReader(self._sock, 16384)
@@ -112,6 +115,13 @@
             self.close()
         return status, body
 
+    def wake(self) -> None:
+        """Ends the call that waits; none follows, not even the second try on a new connection."""
+        self._ended = True
+        sock = self._sock
+        if sock is not None:
+            sockets.wake(sock)
+
     def close(self) -> None:
         if self._sock is not None:
             sockets.close(self._sock)
@@ -175,6 +185,7 @@
         self._tell = tell
         self._log = log
         self._wanted = threading.Event()
+        self._stopped = threading.Event()
 
     def start(self) -> None:
         threading.Thread(target=self._run, name="watch", daemon=True).start()
@@ -186,6 +197,8 @@
         while True:
             self._wanted.wait()
             self._wanted.clear()
+            if self._stopped.is_set():
+                return
             try:
                 while True:
                     self.once()
@@ -193,6 +206,12 @@
                 self._log(f"discovery: {error!r}")
                 self._tell(ListMode.UNAVAILABLE, ())
 
+    def stop(self) -> None:
+        """No further call is made; one that waits is ended."""
+        self._stopped.set()
+        self._wanted.set()
+        self._caller.wake()
+
     def once(self) -> None:
         path = f"/v1/servers?since={self.version}&timeout_ms={WATCH_WAIT // timedelta(milliseconds=1)}"
         status, body = self._caller.get(path, WATCH_WAIT + SLACK)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -21,7 +21,7 @@
 import struct
 import time
 from dataclasses import replace
-from typing import Any
+from typing import Any, ClassVar
 
 from bramblestile.clock import now
 from bramblestile.memory.counters import Counters
@@ -83,6 +83,8 @@
 class Stage:
     """The program with one front, its stand-in upstream hosts, and the downstreams of a scenario."""
 
+    made: ClassVar[list[Stage]] = []  # those that are still to be stopped (conftest.py)
+
     def __init__(self, wire: str = "lines", hosts: int = 1, discovery: socket.socket | None = None,
                  check: str | None = None, **limits: Any) -> None:
         self.wire = wire
@@ -122,6 +124,7 @@
             got = config.read(values | {"nats": more}).nats
             assert got is not None
             self.front = NatsFront(got, self.counters)
+        Stage.made.append(self)
         self.front.start()
 
     def entry(self, name: str) -> dict[str, Any]:
