Bound what is no request yet in number and time; refuse bad first lines and ids in use

CPU was ruled out (0.28 of 0.85 in the worst second), so was memory (34 of 80 MB). The front's own PING comes once after a start and is not kept. An open id sent again overwrote its place in Decisions._visits and was released by whoever came last. Bound connections say d=4294967, so a long d is an error only where nothing is bound; a bound one waits 60 s. Now: memory/lobby.py holds an eighth of the configured descriptors and sends the oldest away, never within its first 50 ms; 2 s from the accept; 16 PINGs; d, h, g and key are read strictly; an unknown class is failed by the module; ids are owned; last words linger for 250 ms and 1 MB; log lines of one kind come once a second.

--- a/bramblestile/life.py
+++ b/bramblestile/life.py
@@ -36,11 +36,16 @@
     arrived = now()
     request = api.Request(asked.id, asked.cls, micros(max(asked.wait, NOTHING)), asked.tenant, asked.key,
                           asked.group, asked.load_hint, asked.is_retry, asked.is_return)
-    if asked.bound_to is not None:
-        _resume(house, downstream, asked, request)
+    visit = house.decisions.enter(asked.id, arrived + asked.wait)
+    if visit is None:
+        count("ids_in_use")
+        downstream.fail()
         return
-    visit = house.decisions.admit(request, arrived + asked.wait)
     try:
+        if asked.bound_to is not None:
+            _resume(house, downstream, asked, request)
+            return
+        house.decisions.tell(request)
         number = 0
         while True:
             choice = visit.next()
--- a/bramblestile/memory/decisions.py
+++ b/bramblestile/memory/decisions.py
@@ -70,16 +70,16 @@
     def start(self) -> None:
         threading.Thread(target=self._run_timers, name="timers", daemon=True).start()
 
-    def admit(self, request: api.Request, deadline: timedelta) -> Visit:
-        visit = Visit(request.id, deadline)
+    def enter(self, name: str, deadline: timedelta) -> Visit | None:
+        """A request's place under its id, until it is released; None while another holds that id. Whoever
+        sends the id of another's open request must not get at what is answered, moved or ended under it."""
+        visit = Visit(name, deadline)
         with self._lock:
-            self._visits[request.id] = visit
-        self.tell(request)
-        return visit
+            return visit if self._visits.setdefault(name, visit) is visit else None
 
     def release(self, visit: Visit) -> None:
         with self._lock:
-            self._visits.pop(visit.id, None)
+            del self._visits[visit.id]
 
     def list(self, mode: api.ListMode, hosts: Sequence[UpstreamHost]) -> None:
         """News of the cluster. The addresses come first: the module may choose a new host at once."""
--- a/bramblestile/process/config.py
+++ b/bramblestile/process/config.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import resource
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -23,6 +24,9 @@
 CONNECT_WITHIN = timedelta(milliseconds=250)
 PROBE_WITHIN = timedelta(milliseconds=500)
 CHECK_EVERY = timedelta(seconds=2)
+# Downstreams that are no request yet get an eighth of the descriptors (requests and the hosts' ends of them
+# take two thirds) and no more than one for each MB: a thread costs some 30 KB of it.
+LOBBY_LEAST, LOBBY_MOST, LOBBY_SHARE = 16, 256, 8
 
 
 class ConfigError(Exception):
@@ -44,6 +48,7 @@
     probe_within: timedelta = PROBE_WITHIN
     checks: Mapping[str, agent.Check] = field(default_factory=dict)
     check_every: timedelta = CHECK_EVERY
+    lobby: int = LOBBY_MOST  # downstreams that are no request yet
 
 
 @dataclass(slots=True, frozen=True)
@@ -158,9 +163,18 @@
         probe_within=spans.micros("probe_us", PROBE_WITHIN),
         checks=_checks(at.section("checks"), {h.id for h in hosts}),
         check_every=spans.micros("check_us", CHECK_EVERY, 10_000),
+        lobby=_lobby(top.section("limits")),
     )
 
 
+def _lobby(limits: Section) -> int:
+    """From the limits that the file tells, or else from the process's own."""
+    own = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    descriptors = limits.integer("sockets", own if 0 < own < 1 << 20 else 1 << 20, 64)
+    memory = limits.integer("memory_mb", LOBBY_MOST, 16)
+    return max(LOBBY_LEAST, min(LOBBY_MOST, memory, descriptors // LOBBY_SHARE))
+
+
 def _checks(at: Section, known: set[str]) -> dict[str, agent.Check]:
     """For each upstream host its agent's address, or ``http`` and ``path``."""
     made = {}
--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -16,8 +16,9 @@
 from bramblestile.memory.counters import Counters
 from bramblestile.memory.store import Journal, Replica, Store
 from bramblestile.process.config import Config, ConfigError, StoreConfig, load
-from bramblestile.process.front import Front, LineFront, NatsFront, log
+from bramblestile.process.front import Front, LineFront, NatsFront
 from bramblestile.process.listeners import Listener
+from bramblestile.process.log import log
 from bramblestile.wire import agent, peers
 from bramblestile.wire.peers import Peers
 
--- a/bramblestile/process/front.py
+++ b/bramblestile/process/front.py
@@ -3,34 +3,33 @@
 from __future__ import annotations
 
 import socket
-import sys
 import threading
 from collections.abc import Callable
 from datetime import timedelta
 
+from bramblestile.clock import now
 from bramblestile.life import House, live
 from bramblestile.memory.cluster import Cluster
 from bramblestile.memory.connections import Connections, Delays, Standing
 from bramblestile.memory.counters import Counters
 from bramblestile.memory.decisions import Decisions
+from bramblestile.memory.lobby import Lobby
 from bramblestile.process.config import FrontConfig, NatsConfig
 from bramblestile.process.listeners import Listener
+from bramblestile.process.log import log, log_seldom
 from bramblestile.wire import lines, nats, sockets
 from bramblestile.wire.agent import Opinion
 from bramblestile.wire.checks import Checks
+from bramblestile.wire.common import MOST_PINGS
 from bramblestile.wire.discovery import Watch
 from bramblestile.wire.probes import Ask, Probes
 from vanegw import interface as api
 
-FIRST_LINE = timedelta(seconds=30)  # for a downstream that has connected and says nothing
+FIRST_LINE = timedelta(seconds=2)  # from the accept to the whole first line, however many PINGs come before
 LOOK_AGAIN = timedelta(seconds=1)  # between two looks at a NATS host that has said that it drains
 MILLISECOND = timedelta(milliseconds=1)
 
 
-def log(text: str) -> None:
-    print(text, file=sys.stderr, flush=True)
-
-
 class Front:
     """What every front has, whatever it speaks. Nothing in it listens before ``start``."""
 
@@ -50,6 +49,7 @@
         self.watch = None if config.discovery is None else Watch(
             config.discovery, config.known_version, self.decisions.list, log)
         self.checks = Checks(config.checks, config.check_every, self.checked, counters)
+        self.lobby = Lobby(config.lobby)
         self.listener: Listener | None = None
         self.stopped = threading.Event()
 
@@ -63,7 +63,7 @@
         self.connections.start()
         self.decisions.list(api.ListMode.RESTORED, self.config.known)
         self.checks.start()
-        self.listener = Listener(self.config.listen, self.serve, self.counters, self.name)
+        self.listener = Listener(self.config.listen, self.serve, self.counters, self.name, self.lobby)
         self.listener.start()
 
     def stop(self) -> None:
@@ -84,9 +84,17 @@
     def _reject(self, sock: socket.socket, reply: bytes, why: Exception) -> None:
         """What is no request gets a failed answer and a counter: it must not end in a traceback."""
         self.counters.add("bad_first_lines")
-        log(f"{self.name}: not taken: {why!r}")
-        sockets.write(sock, [reply])
-        sockets.close(sock)
+        log_seldom(f"{self.name}: not taken", repr(why))
+        sockets.last_word(sock, reply)
+
+    def _turn_away(self, sock: socket.socket, reply: bytes) -> None:
+        """It has not said what it wants and others need its place, or it takes too long over it."""
+        self.counters.add("silent_downstreams")
+        sockets.last_word(sock, reply)
+
+    def _admits(self, sock: socket.socket) -> bool:
+        """The first words are whole: it is a request from now on, unless its place was just given away."""
+        return self.lobby.leave(sock)
 
     # The observer of standing connections.
 
@@ -140,21 +148,29 @@
     def serve(self, sock: socket.socket) -> None:
         """The first line of a downstream: a health check, or a request whose life begins."""
         reader = sockets.LineReader(sock, lines.LONGEST)
+        until = now() + FIRST_LINE
         try:
-            while True:
-                line = reader.line(FIRST_LINE)
+            for _ in range(MOST_PINGS):
+                line = reader.line(until - now())
                 if line is None:
+                    if self.lobby.has_sent_away(sock):
+                        self._turn_away(sock, lines.FULL)
                     return
                 if sockets.text(line) != "PING":
                     break
                 sockets.write(sock, [lines.PONG])
+            else:
+                raise lines.MalformedError("PING and nothing else")
             asked, head = lines.parse_open(line)
         except TimeoutError:
-            self.counters.add("silent_downstreams")
+            self._turn_away(sock, lines.FAILED)
             return
         except (sockets.OverlongError, lines.MalformedError) as error:
             self._reject(sock, lines.FAILED, error)
             return
+        if not self._admits(sock):
+            self._turn_away(sock, lines.FULL)
+            return
         live(self.house, lines.LineDownstream(sock, reader, asked, head), asked)
 
 
@@ -215,6 +231,8 @@
         except nats.RefusedError as error:
             self._reject(sock, error.reply, error)
             return
-        if got is not None:
+        if (got is None and self.lobby.has_sent_away(sock)) or (got is not None and not self._admits(sock)):
+            self._turn_away(sock, nats.error(nats.FULL))
+        elif got is not None:
             asked, connect, verbose = got
             live(self.house, nats.NatsDownstream(sock, reader, self.greeting, asked, connect, verbose), asked)
--- a/bramblestile/process/listeners.py
+++ b/bramblestile/process/listeners.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import errno
 import socket
-import sys
 import threading
 import time
 import traceback
 from collections.abc import Callable
 
 from bramblestile.memory.counters import Counters
+from bramblestile.memory.lobby import Lobby
+from bramblestile.process.log import log_seldom
 from bramblestile.wire import sockets
 from bramblestile.wire.sockets import Address
 
@@ -18,7 +20,9 @@
 
 
 class Listener:
-    def __init__(self, address: Address, serve: Serve, counters: Counters, name: str) -> None:
+    def __init__(self, address: Address, serve: Serve, counters: Counters, name: str,
+                 lobby: Lobby | None = None) -> None:
+        self._lobby = lobby  # None: what comes here is bounded elsewhere
         self._serve = serve
         self._counters = counters
         self._name = name
@@ -35,6 +39,8 @@
 
     def _accept(self) -> None:
         while True:
+            if self._lobby is not None:
+                self._lobby.make_room()
             try:
                 sock, _ = self._sock.accept()
             except OSError as error:
@@ -42,12 +48,16 @@
                     return
                 # Out of descriptors, or the downstream left before we came: neither may end the listener.
                 self._counters.add("accept_failed")
-                print(f"{self._name}: accept: {error}", file=sys.stderr, flush=True)
+                log_seldom(f"{self._name}: accept", repr(error))
+                if self._lobby is not None and error.errno in (errno.EMFILE, errno.ENFILE):
+                    self._lobby.send_oldest_away()
                 time.sleep(0.01)
                 continue
             self._counters.add(f"{self._name}_accepted")
             with self._idle:
                 self.busy += 1
+            if self._lobby is not None:
+                self._lobby.enter(sock)
             try:
                 threading.Thread(target=self._run, args=(sock,), name=self._name, daemon=True).start()
             except RuntimeError:  # no thread to be had
@@ -68,6 +78,8 @@
 
     def _done(self, sock: socket.socket) -> None:
         sock.close()
+        if self._lobby is not None:
+            self._lobby.leave(sock)
         with self._idle:
             self.busy -= 1
             self._idle.notify_all()
--- a/bramblestile/wire/common.py
+++ b/bramblestile/wire/common.py
@@ -12,6 +12,8 @@
 from bramblestile.wire.sockets import Address, LineReader
 from vanegw.interface import Status
 
+MOST_PINGS = 16  # before a request: a front asks once, and who asks on and on wants nothing else
+
 
 class SocketDownstream(ABC):
     """A downstream on a socket whose first words have been read."""
@@ -34,10 +36,7 @@
     def _ask(self, upstream: socket.socket, until: timedelta, may_send: CanSend) -> Answer: ...
 
     def _reply(self, line: bytes) -> None:
-        try:
-            sockets.write(self._sock, [line])
-        finally:
-            sockets.close(self._sock)
+        sockets.last_word(self._sock, line)
 
     def upstream_request(self, address: Address, until: timedelta, connect_within: timedelta,
                          may_send: CanSend) -> Answer:
--- a/bramblestile/wire/lines.py
+++ b/bramblestile/wire/lines.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from dataclasses import dataclass
 from datetime import timedelta
+from string import hexdigits
 
 from bramblestile.clock import MICROSECOND, NOTHING, milliseconds, now
 from bramblestile.dialect import Answer, Asked, CanSend, NotUp, Up
@@ -18,8 +20,11 @@
 MOVE = b"MOVE\r\n"
 PONG = b"PONG\r\n"
 FAILED = b"ERR\r\n"
+FULL = b"BUSY\r\n"
 # The answer's way back to the downstream takes time too: it must come before the downstream gives up.
 WAY_BACK = timedelta(milliseconds=15)
+LONGEST_WAIT = timedelta(seconds=60)  # no class waits nearly so long for its UP
+LARGEST_HINT = 1e12
 OUTCOMES = {"BYE": Status.SERVED, "MOVE": Status.CANCELLED, "ERR": Status.ERROR, "BUSY": Status.NO_ROOM}
 REPORT_FIELDS = {
     "x0": "load", "util": "utilisation", "busy": "utilisation", "queue": "queue", "q": "queue",
@@ -63,18 +68,37 @@
             d_start, d_end = at + 2, at + len(pair)
         values[str(name, "ascii", "replace")] = str(value, "ascii", "replace")
         at += len(pair) + 1
-    try:
-        wait = timedelta(milliseconds=int(values["d"]))
-        group = int(values["g"], 16) if values.get("g") else None
-        hint = float(values["h"]) if values.get("h") else None
-        key = int(words[2], 16) if words[2] else None
-    except (KeyError, ValueError, OverflowError) as error:
-        raise MalformedError(str(error)) from None
+    bound_to = values.get("at")
+    wait = _milliseconds(values.get("d", ""))
+    if bound_to is not None:
+        wait = min(wait, LONGEST_WAIT)  # such a client waits on and on; the run has long begun without it
+    elif not NOTHING < wait <= LONGEST_WAIT:
+        raise MalformedError(f"d: {values['d'][:20]!r}")
+    hint = _number(values["h"].encode()) if values.get("h") else None
+    if hint is not None and not 0 <= hint < LARGEST_HINT:
+        raise MalformedError(f"h: {values['h'][:20]!r}")
     asked = Asked(str(words[1], "ascii", "replace"), values.get("c", ""), wait - WAY_BACK, values.get("t"),
-                  key, group, hint, values.get("r") == "1", values.get("again") == "1", values.get("at"))
+                  _tag(str(words[2], "ascii", "replace")), _tag(values.get("g", "")), hint,
+                  values.get("r") == "1", values.get("again") == "1", bound_to)
     return asked, Head(raw, d_start, d_end)
 
 
+def _milliseconds(value: str) -> timedelta:
+    """Digits and nothing else: int() would also take '-5', '1_0' and numbers that no span can hold."""
+    if not (value.isascii() and value.isdigit() and len(value) <= 10):
+        raise MalformedError(f"d: {value[:20]!r}")
+    return timedelta(milliseconds=int(value))
+
+
+def _tag(value: str) -> int | None:
+    """A key or a group: up to 64 bits in hexadecimal."""
+    if not value:
+        return None
+    if len(value) > 16 or not all(c in hexdigits for c in value):
+        raise MalformedError(f"key or group: {value[:20]!r}")
+    return int(value, 16)
+
+
 def parse_report(words: str) -> Report | None:
     """``x0=0.61,queue=2``: the fields that are known; None when there is none."""
     got: dict[str, float] = {}
@@ -82,9 +106,11 @@
         name, _, value = pair.partition("=")
         if name in REPORT_FIELDS:
             try:
-                got[REPORT_FIELDS[name]] = float(value)
+                number = float(value)
             except ValueError:
                 continue
+            if math.isfinite(number) and number >= 0:  # a broken reading is no reading
+                got[REPORT_FIELDS[name]] = number
     return Report(**got) if got else None
 
 
--- a/bramblestile/wire/nats.py
+++ b/bramblestile/wire/nats.py
@@ -20,7 +20,7 @@
 from bramblestile.dialect import Answer, Asked, CanSend, NotUp, Up
 from bramblestile.memory.connections import Kind, Message, Standing, ViolationError
 from bramblestile.wire import sockets
-from bramblestile.wire.common import SocketDownstream
+from bramblestile.wire.common import MOST_PINGS, SocketDownstream
 from bramblestile.wire.sockets import Address, LineReader, text
 from vanegw.interface import Report, Status
 
@@ -84,7 +84,7 @@
                  waits: Mapping[str, timedelta]) -> tuple[Asked, bytes, bool] | None:
     """The client's CONNECT: what it asks for, the line as it came, whether it is verbose. None: it left."""
     until = now() + CONNECT_WITHIN
-    while True:
+    for _ in range(MOST_PINGS):
         try:
             line = reader.line(max(until - now(), NOTHING))
         except TimeoutError:
@@ -100,6 +100,8 @@
             break
         else:
             raise RefusedError(UNKNOWN)
+    else:
+        raise RefusedError(UNKNOWN)
     try:
         options = json.loads(rest)
         user = greeting.users.get(str(options.get("user")), greeting.default)
--- a/bramblestile/wire/sockets.py
+++ b/bramblestile/wire/sockets.py
@@ -14,6 +14,9 @@
 Address = tuple[str, int]
 READABLE = select.POLLIN
 WRITE_BOUND = timedelta(seconds=3)  # a peer that reads nothing for so long is given up
+LINGER = timedelta(milliseconds=250)  # after our last word, for what the peer still sends
+MOST_UNREAD = 1 << 20  # bytes of a closing peer's that are read and dropped
+_WASTE = bytearray(65536)  # where they go, for all threads alike: nobody looks at it
 _NO_LINGER = struct.pack("ii", 1, 0)
 
 
@@ -76,20 +79,32 @@
         sock.shutdown(how)
 
 
-def close(sock: socket.socket, reset: bool = False) -> None:
-    """Closes with FIN, or with RST. What lies unread is read first: closing over it would send RST."""
+def close(sock: socket.socket, reset: bool = False, linger: timedelta = NOTHING) -> None:
+    """Closes with FIN, or with RST. What lies unread is read first, and what comes within ``linger``: closing
+    over it would send RST, which may overtake our last words. A peer that never stops sending is cut off."""
     with contextlib.suppress(OSError):
         if reset:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
         else:
             wake(sock, socket.SHUT_WR)
             sock.setblocking(False)
-            for _ in range(16):
-                if not sock.recv(65536):
+            until = now() + linger
+            for _ in range(MOST_UNREAD // len(_WASTE)):
+                if linger and wait((sock, READABLE), within=max(until - now(), NOTHING)) is None:
+                    break
+                if not sock.recv_into(_WASTE):
                     break
     sock.close()
 
 
+def last_word(sock: socket.socket, line: bytes) -> None:
+    """A local reply, then the end."""
+    try:
+        write(sock, [line])
+    finally:
+        close(sock, linger=LINGER)
+
+
 class LineReader:
     """Reads lines into one buffer and hands them out in place, as views that hold until the next read."""
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -6,6 +6,7 @@
     c1 close        ends the connection; reset breaks it; stop ends a host's listener
     c1 ends         the other side has ended it; broken: by a reset
     b0 idle         no connection waits there
+    c1 connect      opens the connection and says nothing
     list b0 STATE   discovery tells; 'cold': started just now
     wait NAME N     until a counter has reached N
 
@@ -38,6 +39,7 @@
     "full": ["send BUSY"], "error": ["send ERR"], "served": ["expect UP r1"], "hello": [],
     "refused": ["expect BUSY*", "ends"], "failed": ["expect ERR", "ends"], "moved": ["expect MOVE", "ends"],
     "says": ["send line one"], "hears": ["expect line one"], "bye": ["send BYE"],
+    "greeted": ["connect"], "word": ["expect ERR"], "unread": ["word", "ends"], "late": ["unread"],
 }
 NATS = {
     "ask": ["expect INFO *", 'raw CONNECT {{"verbose":false,"name":"coll"}}\\r\\nPING\\r\\n'],
@@ -49,6 +51,8 @@
     "failed": ["expect -ERR 'Stale Connection'", "ends"], "moved": ['expect INFO *"ldm":true*', "ends"],
     "says": ["raw MSG a.b 1 10\\r\\n12\\r\\n345678\\r\\n"],
     "hears": ["expectraw MSG a.b 1 10\\r\\n12\\r\\n345678\\r\\n"], "bye": [],
+    "greeted": ["expect INFO *"], "word": ["expect -ERR *"], "unread": ["word", "ends"],
+    "late": ["expect -ERR 'Authentication Timeout'", "ends"],
 }
 WORDS = {"lines": LINES, "nats": NATS}
 
@@ -86,7 +90,7 @@
     made: ClassVar[list[Stage]] = []  # those that are still to be stopped (conftest.py)
 
     def __init__(self, wire: str = "lines", hosts: int = 1, discovery: socket.socket | None = None,
-                 check: str | None = None, **limits: Any) -> None:
+                 check: str | None = None, sockets: int = 1024, **limits: Any) -> None:
         self.wire = wire
         self.listening = {f"b{n}": socket.create_server(("127.0.0.1", 0)) for n in range(hosts)}
         self.peers: dict[str, Peer] = {}
@@ -94,7 +98,7 @@
         self.numbers: dict[str, int] = {}
         aims = limits.pop("message_aim_us", [60_000.0, 60_000.0])
         values: dict[str, Any] = {
-            "name": "n1", "seed": "1f",
+            "name": "n1", "seed": "1f", "limits": {"sockets": sockets},
             "known": {"seq": 1, "hosts": [self.entry(name) for name in self.listening]},
             "settings": {
                 "classes": [{"name": "feed", **CLASS}, {"name": "once", "effect": "unsafe", **CLASS}],
@@ -191,6 +195,9 @@
         got = self.peer(actor).take(len(wanted))
         assert got == wanted, f"got {got!r}"
 
+    def do_connect(self, actor: str, _: str) -> None:
+        self.peer(actor)
+
     def do_accept(self, actor: str, _: str) -> None:
         if actor in self.peers:
             self.kept.append(self.peers.pop(actor))  # it stays open, out of the scenario's sight
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -138,7 +138,10 @@
     # Requests.
 
     def _on_request(self, event: api.Request) -> None:
-        cls = self.classes.get(event.cls, self.settings.classes[0])
+        cls = self.classes.get(event.cls)
+        if cls is None:  # nobody can tell how it may be served: it is not to pass for another
+            self.actions.append(api.Fail(event.id))
+            return
         flight = Flight(event, cls, self.now + event.remaining_us)
         self.flights[event.id] = flight
         if self._beyond_share(event.tenant) or self.random.random() < JAM_REFUSAL * self.lateness**2:
