Read the configuration again at SIGHUP: follow the new discovery, drop nobody

Checked: SIGHUP is not among the signals that process/daemon.py blocks and waits for, so its default action ends the program; wire/discovery.py keeps one HttpCaller, hence one address, for life. Now: SIGHUP reads the same files by the same config.load; a faulty one is named by its key and changes nothing. A sound one is taken by each front while all stands: discovery, settings, spans, checks, the lobby's size, NATS users; a new listen address, front, health or store is named as needing a restart. The watch ends its call at the old discovery and asks the new one for its whole list, as versions of another service mean nothing to it. Signals are blocked before the first file is read. On the way: chunk sizes of discovery's answers are checked and bounded.

--- a/bramblestile/memory/connections.py
+++ b/bramblestile/memory/connections.py
@@ -279,7 +279,7 @@
     and once more when it is back under. The way there and back, the least time seen, is no delay."""
 
     def __init__(self, threshold: timedelta, note: Callable[[Standing, timedelta], None]) -> None:
-        self._threshold = threshold
+        self.threshold = threshold
         self._note = note
         self._lock = threading.Lock()
         self._hosts: dict[str, _Seen] = {}
@@ -290,7 +290,7 @@
             if answered:
                 host.least = min(host.least, took)
             delay = took - host.least
-            high = delay > self._threshold
+            high = delay > self.threshold
             # An answer that is still out proves a delay, never its end.
             if not (high or (host.high and answered)) or now() - host.noted < NOTE_EVERY:
                 return
--- a/bramblestile/memory/decisions.py
+++ b/bramblestile/memory/decisions.py
@@ -70,6 +70,10 @@
     def start(self) -> None:
         threading.Thread(target=self._run_timers, name="timers", daemon=True).start()
 
+    def reconfigure(self, settings: api.Settings) -> None:
+        with self._lock:
+            self._balancer.reconfigure(settings)
+
     def enter(self, name: str, deadline: timedelta) -> Visit | None:
         """A request's place under its id, until it is released; None while another holds that id. Whoever
         sends the id of another's open request must not get at what is answered, moved or ended under it."""
--- a/bramblestile/process/config.py
+++ b/bramblestile/process/config.py
@@ -264,7 +264,7 @@
     try:
         raw = path.read_bytes()
         got = tomllib.loads(raw.decode()) if path.suffix == ".toml" else json.loads(raw)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"{path.name}: {error}") from None
     if not isinstance(got, dict):
         raise ConfigError(f"{path.name}: not a table")
--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -24,6 +24,7 @@
 
 STACK = 192 * 1024  # bytes; two threads for each standing connection must fit the memory limit
 STILL_COMING = timedelta(milliseconds=600)  # after SIGTERM the front goes on sending for up to 0.4 s
+WAITED = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
 LEAVING = timedelta(seconds=3)  # from SIGTERM to the exit; SIGKILL comes no sooner than 3.7 s
 MOVES_OVER = timedelta(milliseconds=1200)  # the moved come back at once: spread, so as not to be a storm
 
@@ -42,11 +43,9 @@
         self.config = config
         self.health = config.health
         self.told_at: dict[str, Listener] = {}  # where the health protocols are answered
-        self.fronts: list[Front] = []
-        if config.lines is not None:
-            self.fronts.append(LineFront(config.lines, self.counters))
-        if config.nats is not None:
-            self.fronts.append(NatsFront(config.nats, self.counters))
+        self.lines = None if config.lines is None else LineFront(config.lines, self.counters)
+        self.nats = None if config.nats is None else NatsFront(config.nats, self.counters)
+        self.fronts: list[Front] = [front for front in (self.lines, self.nats) if front is not None]
 
     def start(self) -> None:
         for front in self.fronts:
@@ -61,6 +60,18 @@
                 self.told_at[name] = Listener(address, answer, self.counters, name)
                 self.told_at[name].start()
 
+    def reconfigure(self, config: Config) -> None:
+        """Takes what can change while all that stands stays; names what needs a restart."""
+        for name, front, made in (("lines", self.lines, config.lines), ("nats", self.nats, config.nats)):
+            if front is not None and made is not None:
+                front.reconfigure(made)
+            elif front is not None or made is not None:
+                log(f"reload: {name}: to add or remove a front needs a restart")
+        for name in ("health", "store"):
+            if getattr(config, name) != getattr(self.config, name):
+                log(f"reload: {name}: a change needs a restart")
+        self.config = config
+
     def _make_store(self, made: StoreConfig, seed: int) -> None:
         self.peers = Peers(made.peers, made.name, self.counters)
         journal = Journal(made.directory / f"{made.name}.journal")
@@ -118,20 +129,36 @@
         return [one for front in self.fronts for one in front.connections.all()]
 
 
+def reload(daemon: Daemon, arguments: list[str]) -> None:
+    """SIGHUP: the same files are read again. A faulty one changes nothing."""
+    try:
+        config = load(arguments, os.environ)
+    except ConfigError as error:
+        daemon.counters.add("reloads_refused")
+        log(f"reload: kept as it was: {error}")
+        return
+    daemon.reconfigure(config)
+    daemon.counters.add("reloads")
+    log("reload: done")
+
+
 def main(arguments: list[str]) -> int:
+    # Signals are waited for, not handled: blocked before the first thread starts, so that all inherit it, and
+    # before the first file is read: a SIGHUP that came sooner would end the program.
+    signal.pthread_sigmask(signal.SIG_BLOCK, WAITED)
     try:
         config = load(arguments, os.environ)
     except ConfigError as error:
         log(f"bramblestile: {error}")
         return 2
     threading.stack_size(STACK)
-    # Signals are waited for, not handled: blocked before the first thread starts, so that all inherit it.
-    waited = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1}
-    signal.pthread_sigmask(signal.SIG_BLOCK, waited)
     daemon = Daemon(config)
     daemon.start()
-    while signal.sigwait(waited) is signal.SIGUSR1:
-        daemon.counters.print()
+    while (caught := signal.sigwait(WAITED)) not in (signal.SIGTERM, signal.SIGINT):
+        if caught is signal.SIGHUP:
+            reload(daemon, arguments)
+        else:
+            daemon.counters.print()
     daemon.stop()
     daemon.counters.print()
     sys.stderr.flush()
--- a/bramblestile/process/front.py
+++ b/bramblestile/process/front.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 
 from bramblestile.clock import now
@@ -23,6 +24,7 @@
 from bramblestile.wire.common import MOST_PINGS
 from bramblestile.wire.discovery import Watch
 from bramblestile.wire.probes import Ask, Probes
+from bramblestile.wire.sockets import Address
 from vanegw import interface as api
 
 FIRST_LINE = timedelta(seconds=2)  # from the accept to the whole first line, however many PINGs come before
@@ -30,6 +32,12 @@
 MILLISECOND = timedelta(milliseconds=1)
 
 
+def noted_from(settings: api.Settings) -> timedelta:
+    """The delay of a message from which the decisions hear of it."""
+    aims = [c.message_aim_us for c in settings.classes if c.message_aim_us > 0]
+    return timedelta(microseconds=min(aims, default=300_000.0) / 3)
+
+
 class Front:
     """What every front has, whatever it speaks. Nothing in it listens before ``start``."""
 
@@ -41,13 +49,12 @@
         self.cluster = Cluster()
         self.decisions = Decisions(config.settings, config.seed, self.cluster, counters)
         self.connections = Connections(self.mute, self.hush)
-        aims = [c.message_aim_us for c in config.settings.classes if c.message_aim_us > 0]
-        self.delays = Delays(timedelta(microseconds=min(aims, default=300_000.0) / 3), self._note_delay)
+        self.delays = Delays(noted_from(config.settings), self._note_delay)
         self.house = House(self.decisions, self.cluster, self.connections, counters, self,
                            config.connect_within, self.host_drains)
         self.probes = Probes(self.cluster, self.prober, config.probe_within, self.decisions.tell, counters)
-        self.watch = None if config.discovery is None else Watch(
-            config.discovery, config.known_version, self.decisions.list, log)
+        self.watch = None if config.discovery is None else self._make_watch(
+            config.discovery, config.known_version)
         self.checks = Checks(config.checks, config.check_every, self.checked, counters)
         self.lobby = Lobby(config.lobby)
         self.listener: Listener | None = None
@@ -57,8 +64,7 @@
         self.decisions.on_probe = self.probes.ask
         self.decisions.on_move = self.connections.move
         if self.watch is not None:
-            self.decisions.on_subscribe = self.watch.ask
-            self.watch.start()
+            self._start_watch(self.watch)
         self.decisions.start()
         self.connections.start()
         self.decisions.list(api.ListMode.RESTORED, self.config.known)
@@ -66,6 +72,44 @@
         self.listener = Listener(self.config.listen, self.serve, self.counters, self.name, self.lobby)
         self.listener.start()
 
+    def _make_watch(self, discovery: Address, version: int | None) -> Watch:
+        return Watch(discovery, version, self.decisions.list, log)
+
+    def _start_watch(self, watch: Watch) -> None:
+        self.decisions.on_subscribe = watch.ask
+        watch.start()
+
+    def reconfigure(self, config: FrontConfig) -> None:
+        """Takes the new configuration while all that stands stays as it is."""
+        old, self.config = self.config, replace(config, listen=self.config.listen)
+        if config.listen != old.listen:
+            log(f"{self.name}: listen: a new address needs a restart, {old.listen} is kept")
+        self.decisions.reconfigure(config.settings)
+        self.delays.threshold = noted_from(config.settings)
+        self.house.connect_within, self.probes.within = config.connect_within, config.probe_within
+        self.lobby.most = config.lobby
+        self._follow(old.discovery, config)
+        if (config.checks, config.check_every) != (old.checks, old.check_every):
+            self.checks.stop()
+            for name in old.checks:  # what an ended check has said last must not hold for ever
+                self.checked(name, Opinion(takes_work=True, share=1.0))
+            self.checks = Checks(config.checks, config.check_every, self.checked, self.counters)
+            self.checks.start()
+
+    def _follow(self, old: Address | None, config: FrontConfig) -> None:
+        if config.discovery is None:
+            if self.watch is not None:
+                self.watch.stop()
+                self.watch = None
+            # Nobody else tells of changes: the file's list is the cluster.
+            self.decisions.list(api.ListMode.COMPLETE, config.known)
+        elif self.watch is None:
+            self.watch = self._make_watch(config.discovery, None)
+            self._start_watch(self.watch)
+            self.watch.ask()
+        elif config.discovery != old:
+            self.watch.follow(config.discovery)
+
     def stop(self) -> None:
         """Asks nobody anything more and accepts nothing more; what stands is not touched."""
         self.stopped.set()
@@ -216,9 +260,17 @@
     def __init__(self, config: NatsConfig, counters: Counters) -> None:
         self._watched = _Names()
         super().__init__(config, counters)
+        self._greet(config)
+
+    def _greet(self, config: NatsConfig) -> None:
         self.greeting = config.greeting
         self.waits = {c.name: timedelta(microseconds=c.deadline_us) for c in config.settings.classes}
 
+    def reconfigure(self, config: FrontConfig) -> None:
+        assert isinstance(config, NatsConfig)
+        self._greet(config)
+        super().reconfigure(config)
+
     def prober(self) -> tuple[Ask, Callable[[], None]]:
         prober = nats.Prober()
         return prober.ask, prober.close
--- a/bramblestile/process/listeners.py
+++ b/bramblestile/process/listeners.py
@@ -31,6 +31,7 @@
         self._sock.bind(address)
         self._sock.listen(BACKLOG)
         self.address: Address = self._sock.getsockname()[:2]
+        self._stopped = False
         self._idle = threading.Condition()
         self.busy = 0  # downstreams taken and not yet over
 
@@ -44,7 +45,7 @@
             try:
                 sock, _ = self._sock.accept()
             except OSError as error:
-                if self._sock.fileno() < 0:
+                if self._stopped:
                     return
                 # Out of descriptors, or the downstream left before we came: neither may end the listener.
                 self._counters.add("accept_failed")
@@ -85,5 +86,6 @@
             self._idle.notify_all()
 
     def stop(self) -> None:
+        self._stopped = True
         sockets.wake(self._sock)
         self._sock.close()
--- a/bramblestile/wire/discovery.py
+++ b/bramblestile/wire/discovery.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Callable, Sequence
 from datetime import timedelta
+from string import hexdigits
 from typing import Any
 
 from bramblestile.clock import NOTHING, now
@@ -103,7 +104,11 @@
         status, length, keep, chunked = _read_head(reader, until)
         if chunked:
             parts = []
-            while size := int(text(_line(reader, until)).partition(";")[0] or "0", 16):
+            left = LARGEST  # for all chunks together
+            while size := _chunk_size(text(_line(reader, until))):
+                left -= size
+                if left < 0:
+                    raise BadAnswerError(f"more than {LARGEST} bytes in one answer")
                 parts.append(_exactly(self._sock, reader, size, until))
                 _line(reader, until)
             while text(_line(reader, until)):
@@ -155,6 +160,13 @@
     return int(words[1]), length, keep, chunked
 
 
+def _chunk_size(line: str) -> int:
+    digits = line.partition(";")[0].strip()
+    if not digits or len(digits) > 8 or not all(c in hexdigits for c in digits):
+        raise BadAnswerError(f"chunk size {digits[:20]!r}")
+    return int(digits, 16)
+
+
 def _exactly(sock: socket.socket, reader: LineReader, size: int, until: timedelta) -> bytes:
     if size > LARGEST:
         raise BadAnswerError(f"{size} bytes in one answer")
@@ -177,11 +189,11 @@
     call that comes later than 200 ms starts a new watch.
     """
 
-    def __init__(self, discovery: Address, version: int,
+    def __init__(self, discovery: Address, version: int | None,
                  tell: Callable[[ListMode, Sequence[UpstreamHost]], None],
                  log: Callable[[str], None]) -> None:
-        self._caller = HttpCaller(discovery)
-        self.version = version
+        self._caller = self._version_from = HttpCaller(discovery)
+        self.version = version  # None: nothing is held of this discovery's, so the whole list is asked for
         self._tell = tell
         self._log = log
         self._wanted = threading.Event()
@@ -193,18 +205,30 @@
     def ask(self) -> None:
         self._wanted.set()
 
+    def follow(self, discovery: Address) -> None:
+        """Another discovery from now on. The call that waits at the old one is ended, nothing new goes there,
+        and the new one is asked at once: what it has to tell may count as told any moment."""
+        old, self._caller = self._caller, HttpCaller(discovery)
+        self._wanted.set()
+        old.wake()
+
     def _run(self) -> None:
         while True:
             self._wanted.wait()
             self._wanted.clear()
             if self._stopped.is_set():
                 return
+            caller = self._caller
+            if caller is not self._version_from:  # another's versions mean nothing to it
+                self._version_from.close()
+                self._version_from, self.version = caller, None
             try:
-                while True:
-                    self.once()
-            except (OSError, BadAnswerError, sockets.OverlongError, ValueError) as error:
-                self._log(f"discovery: {error!r}")
-                self._tell(ListMode.UNAVAILABLE, ())
+                while caller is self._caller:
+                    self.once(caller)
+            except (OSError, BadAnswerError, sockets.OverlongError) as error:
+                if caller is self._caller:
+                    self._log(f"discovery: {error!r}")
+                    self._tell(ListMode.UNAVAILABLE, ())
 
     def stop(self) -> None:
         """No further call is made; one that waits is ended."""
@@ -212,11 +236,15 @@
         self._wanted.set()
         self._caller.wake()
 
-    def once(self) -> None:
-        path = f"/v1/servers?since={self.version}&timeout_ms={WATCH_WAIT // timedelta(milliseconds=1)}"
-        status, body = self._caller.get(path, WATCH_WAIT + SLACK)
+    def once(self, caller: HttpCaller) -> None:
+        path = "/v1/servers"
+        if self.version is not None:
+            path += f"?since={self.version}&timeout_ms={WATCH_WAIT // timedelta(milliseconds=1)}"
+        status, body = caller.get(path, WATCH_WAIT + SLACK)
         if status != 200:
             raise BadAnswerError(f"status {status}")
         version, mode, changed = read_list(body)
+        if caller is not self._caller:
+            return  # an answer of the old one that came while we were told of the new one
         self.version = version
         self._tell(mode, changed)
--- a/bramblestile/wire/probes.py
+++ b/bramblestile/wire/probes.py
@@ -22,7 +22,7 @@
                  within: timedelta, tell: Callable[[ProbeResult], None], counters: Counters) -> None:
         self._cluster = cluster
         self._make = make
-        self._within = within
+        self.within = within
         self._tell = tell
         self._counters = counters
         self._lock = threading.Lock()
@@ -57,6 +57,6 @@
             if address not in (None, host.address):
                 close()
             address = host.address
-            status, report = ask(address, self._within)
+            status, report = ask(address, self.within)
             self._counters.add(f"probes_{status.name.lower()}")
             self._tell(ProbeResult(name, status, (now() - sent) // MICROSECOND, report))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -104,3 +104,58 @@
             return Peer(socket.create_connection(address))
         except ConnectionRefusedError:
             assert program.poll() is None
+
+
+def test_sighup_follows_the_new_discovery_and_keeps_what_stands_and_what_works(tmp_path: Path) -> None:
+    """Seen: SIGHUP ended the program. A faulty file is named by its key and changes nothing."""
+    host, old, new, free = (socket.create_server(("127.0.0.1", 0)) for _ in range(4))
+    address = free.getsockname()
+    free.close()
+    name = {sock: "{}:{}".format(*sock.getsockname()) for sock in (host, old, new)}
+    entry = {"host": "a", "dial": name[host], "health": "in_service"}
+    values = {"listen": "{}:{}".format(*address), "discovery": name[old],
+              "settings": SETTINGS | {"membership_mode": "on_request"}, "known": {"seq": 4, "hosts": [entry]}}
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(values))
+    with subprocess.Popen([sys.executable, "-m", "bramblestile"], stderr=subprocess.PIPE, text=True,
+                          env=os.environ | {"EDGE_CONFIG": str(path)}) as program:
+        try:
+            assert program.stderr is not None
+            standing = connect(address, program)
+            standing.sock.sendall(b"OPEN 1 2 c=feed,d=1500\r\n")
+            upstream = Peer(host.accept()[0])
+            upstream.line()
+            upstream.sock.sendall(b"UP r\r\n")
+            assert standing.line() == "UP r"
+            watched = Peer(old.accept()[0])
+            assert watched.line().startswith("GET /v1/servers?since=4&")
+
+            def replaced(changed: dict[str, Any], said: str) -> None:
+                path.write_text(json.dumps(values | changed))
+                program.send_signal(signal.SIGHUP)
+                assert program.stderr is not None
+                while (line := program.stderr.readline()) and not line.startswith("reload: "):
+                    pass
+                assert re.match("reload: " + said, line)
+
+            replaced({"discovery": "nowhere"}, "kept as it was: discovery: ")
+            replaced({"settings": {"classes": [7]}}, r"kept as it was: settings\.")
+            replaced({"discovery": name[new]}, "done")
+            followed = Peer(new.accept()[0])
+            assert followed.line() == "GET /v1/servers HTTP/1.1"  # the old one's versions mean nothing here
+            while watched.more():
+                pass  # what was still to be read of the call that waited, then its end
+            gone = json.dumps({"seq": 1, "whole": True, "hosts": []})
+            followed.sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(gone)}\r\n\r\n{gone}".encode())
+            while not followed.line().startswith("GET /v1/servers?since=1&"):
+                pass
+            late = connect(address, program)
+            late.sock.sendall(b"OPEN 2 2 c=feed,d=1500\r\n")
+            assert late.line().startswith("BUSY")
+            standing.sock.sendall(b"still here\r\n")
+            assert upstream.line() == "still here"
+            assert program.poll() is None
+        finally:
+            program.kill()
+            for sock in (host, old, new):
+                sock.close()
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -62,11 +62,8 @@
     """The decisions of one relay."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings = settings
+        self.reconfigure(settings)
         self.random = Random(seed)
-        self.classes = {c.name: c for c in settings.classes}
-        self.aim_us = min(c.objective_us for c in settings.classes)
-        self.fresh_us = max(c.deadline_us for c in settings.classes)
         self.backends: dict[str, Known] = {}
         self.flights: dict[str, Flight] = {}
         self.waiting: dict[str, None] = {}  # requests held until their probes answer, in order
@@ -81,7 +78,6 @@
         self.full = FULL_LOAD
         self.standing = 0
         self.looking = False  # a timer for the next look is set
-        self.quotas = {t.name: t.quota_connections for t in settings.tenants if t.quota_connections > 0}
         self.held: Counter[str | None] = Counter()  # own standing connections of each tenant
         self.lateness = 0.0  # share of the latest attempts that timed out
         self.now = 0
@@ -91,6 +87,14 @@
             api.Opened: self._on_opened, api.Note: self._on_note, api.Outcome: self._on_outcome,
             api.ClientGone: self._on_gone, api.ProbeResult: self._on_probe, api.TimerFired: self._on_timer}
 
+    def reconfigure(self, settings: api.Settings) -> None:
+        """New settings for what is decided from now on; what is open keeps its class as it was."""
+        self.settings = settings
+        self.classes = {c.name: c for c in settings.classes}
+        self.aim_us = min(c.objective_us for c in settings.classes)
+        self.fresh_us = max(c.deadline_us for c in settings.classes)
+        self.quotas = {t.name: t.quota_connections for t in settings.tenants if t.quota_connections > 0}
+
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         """Takes one event and returns the actions it calls for, in order."""
         self.now = now_us
