After a restart, size a connection by the shares sold; spread a restart's moves over all its time

Checked with a log of every choice: a balancer that has just started saw loads of 0.30 to 0.78 on its five hosts and still refused some 100 requests in 2 s, 12 within its first 40 ms. _load_of_one (vanegw/rules.py) divides the average load by its own standing connections, of which it has none then, so each placement counted as a quarter of the average: three, and a host seemed full until its next report. What overflowed went to the one cold host, where it timed out, and the lateness of that refused more. Ruled out: the lists (told in time), probes (2 to 36 ms), SIGHUP. The other half: all clients of a balancer were moved within 1.2 s (process/daemon.py, MOVES_OVER), 55 set-ups a second. It is now computed from the classes.

--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -11,7 +11,7 @@
 from datetime import timedelta
 from random import Random
 
-from bramblestile.clock import now
+from bramblestile.clock import NOTHING, now
 from bramblestile.memory.connections import Standing
 from bramblestile.memory.counters import Counters
 from bramblestile.memory.store import Journal, Replica, Store
@@ -25,8 +25,11 @@
 STACK = 192 * 1024  # bytes; two threads for each standing connection must fit the memory limit
 STILL_COMING = timedelta(milliseconds=600)  # after SIGTERM the front goes on sending for up to 0.4 s
 WAITED = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
-LEAVING = timedelta(seconds=3)  # from SIGTERM to the exit; SIGKILL comes no sooner than 3.7 s
-MOVES_OVER = timedelta(milliseconds=1200)  # the moved come back at once: spread, so as not to be a storm
+# SIGKILL follows SIGTERM no sooner than the longest deadline, which counts as 3 s at most, plus 0.7 s.
+LONGEST_DEADLINE = timedelta(seconds=3)
+LEAVING_BEYOND = timedelta(milliseconds=600)  # from SIGTERM to the exit, beyond the longest deadline
+MOVES_FROM = timedelta(milliseconds=450)  # sooner, the front might send the moved here again
+LAST_MOVES = timedelta(milliseconds=350)  # before the exit: by then all that stands has been told
 
 
 class Daemon:
@@ -111,20 +114,31 @@
         began = now()
         self.stop_store()
         self.leaving = True  # said at once; what still comes is taken
-        time.sleep(STILL_COMING.total_seconds())
         listeners = [front.listener for front in self.fronts if front.listener is not None]
-        for listener in listeners:
-            listener.stop()
+        threading.Thread(target=self._stop_listening, args=(listeners,), name="closing", daemon=True).start()
+        leaving = self.longest_deadline() + LEAVING_BEYOND
+        # The moved come back at once, all of them: spread as widely as the time allows, they are no storm.
+        over = max(NOTHING, leaving - LAST_MOVES - MOVES_FROM)
+        time.sleep(MOVES_FROM.total_seconds())
         standing = self._standing()
         for number, one in enumerate(standing):
-            wanted = began + STILL_COMING + MOVES_OVER * number / len(standing)
+            wanted = began + MOVES_FROM + over * number / len(standing)
             time.sleep(max(0.0, (wanted - now()).total_seconds()))
             one.move()
-        while any(listener.busy for listener in listeners) and now() < began + LEAVING:
+        while any(listener.busy for listener in listeners) and now() < began + leaving:
             for one in self._standing():  # what was still being answered has come up since
                 one.move()
             time.sleep(0.02)
 
+    def _stop_listening(self, listeners: list[Listener]) -> None:
+        time.sleep(STILL_COMING.total_seconds())
+        for listener in listeners:
+            listener.stop()
+
+    def longest_deadline(self) -> timedelta:
+        longest = max(c.deadline_us for front in self.fronts for c in front.config.settings.classes)
+        return min(timedelta(microseconds=longest), LONGEST_DEADLINE)
+
     def _standing(self) -> list[Standing]:
         return [one for front in self.fronts for one in front.connections.all()]
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -10,6 +10,7 @@
 import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -86,13 +87,17 @@
                 assert program.stderr is not None
                 program.send_signal(signal.SIGUSR1)
                 assert "answered_served 1" in program.stderr.readline()
+                told = time.monotonic()
                 program.send_signal(signal.SIGTERM)
                 late = Peer(socket.create_connection(address))  # the front still sends for a moment
                 late.sock.sendall(b"OPEN 2 2 c=feed,d=1500\r\n")
                 second = Peer(host.accept()[0])
                 second.sock.sendall(b"UP s\r\n")
+                slow = Peer(socket.create_connection(address))
+                slow.sock.sendall(b"OPEN 3 2 c=feed,d=9000\r\n")  # beyond any deadline that SIGKILL waits for
                 assert [late.line(), late.line(), peer.line()] == ["UP s", "MOVE", "MOVE"]
-                assert program.wait(3.7) == 0
+                assert program.wait(5) == 0
+                assert time.monotonic() - told < 1.5 + 0.7 + 0.4  # 0.4: a busy machine
                 assert "moved 2" in program.stderr.read()
             finally:
                 program.kill()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -464,6 +464,21 @@
         assert not only(relay.answer(relay.tell(api.TimerFired(look.token))), api.Move)
 
 
+def test_a_relay_that_has_just_started_does_not_take_a_few_placements_for_a_full_house() -> None:
+    """Seen: after a restart all clients came back at once; with three each, every backend counted as full."""
+    settings = replace(SETTINGS, tenants=(api.Tenant("a", 1.0, 100.0),), balancers=2)
+    relay = Relay(settings, loads={f"b{n}": 0.5 for n in range(4)})
+    relay.show(*fleet(4))
+    attempts = [a for _ in range(30) for a in only(relay.request(tenant="a"), api.Attempt)]
+    assert len(attempts) == 30
+
+
+def test_an_unknown_class_is_failed() -> None:
+    relay = Relay()
+    relay.show(*fleet(3))
+    assert [type(a) for a in relay.request(cls="unheard-of")] == [api.Fail]
+
+
 def test_one_overloaded_backend_does_not_make_the_fleet_look_full() -> None:
     """Seen: a frozen backend's report of 8.6 set the fleet's average over 1, and tenants were held back."""
     relay = Relay(loads={"b0": 8.6, "b1": 0.3, "b2": 0.3})
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -251,9 +251,11 @@
         return load + known.placed * self._load_of_one() + backlog / WORK_OFF_S
 
     def _load_of_one(self) -> float:
-        """What one connection adds to a backend, as far as this relay's own connections tell."""
+        """What one connection adds to a backend, as far as this relay's own connections tell. Right after a
+        start they tell nothing: then it is what the shares sold say, lest a few look like a full house."""
         each = self.standing * self.settings.balancers / max(1, len(self.backends))
-        return self.average / max(each, 4.0)
+        sold = sum(self.quotas.values()) / max(1, len(self.backends))
+        return min(self.average / max(each, 4.0), 1 / sold if sold else math.inf)
 
     def _cold_allows(self, known: Known) -> bool:
         """A cold backend takes part in few draws, else all relays together push it over. Low load is no
