Ask a host again 0.4 s after own placements filled it; let them outlive an old report

Checked with counts of each choice per half second: the refusals end when the figures' life of 2 s ends and hosts are asked again; the answers then show room (0.45 to 0.57). So the estimate, not the fleet, was full: vanegw/rules.py, _probe takes any figure younger than fresh_us for good, however much has been placed on it. The reverse also showed: a report sent before placements set placed to 0 when it came (_report), and the next second filled the host twice. Now a second sample asks hosts whose figure is older than 0.4 s, and a placement counts until a report 0.7 s younger.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -509,6 +509,20 @@
     assert placed[0] < placed[None] / 2
 
 
+def test_a_host_filled_by_own_placements_is_asked_again_soon_and_they_outlive_an_old_report() -> None:
+    """Seen: after a storm of placements all was refused for 2 s, until the figures' life was over."""
+    relay = Relay(replace(SETTINGS, tenants=(api.Tenant("a", 1.0, 20.0),)), loads={"b0": 0.5})
+    relay.show(*fleet(1))
+    filled = [a for _ in range(20) for a in only(relay.request(), api.Attempt)]
+    assert 4 <= len(filled) <= 8
+    relay.now += 450_000
+    asked = relay.request()  # that report was made before the placements: they still count
+    assert only(asked, api.Probe) and len(only(asked, api.Attempt)) <= 1
+    relay.now += 450_000
+    relay.loads["b0"] = 0.6  # this one shows them
+    assert len(only(relay.request(), api.Attempt)) == 1
+
+
 def test_an_unknown_class_is_failed() -> None:
     relay = Relay()
     relay.show(*fleet(3))
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -53,6 +53,8 @@
 COLD_SHARE = 0.5  # part of its fair share, times its warmth, for a cold backend: the rest is left to chance
 ASK_SPREAD_US = 1_000_000  # first subscription within this time, to spread relays that start together
 LOOK_EVERY_US = 1_000_000  # about so often a backend that holds connections is asked for its load
+REASK_US = 400_000  # a full backend is asked again so soon: it may have been full of our own guesses
+REPORT_AGE_US = 700_000  # a report is about so old when it comes: placements since then are not in it
 LOG_EVERY_US = 60_000_000  # between two equal lines for the operator
 ASK, HOLD, LEFT, LOOK = "ask", "hold ", "left ", "look"  # what a timer is for
 FAILURES = (Status.ERROR, Status.NO_ROOM, Status.TIMED_OUT, Status.NO_ROUTE, Status.CUT)
@@ -174,7 +176,9 @@
     def _sample(self, flight: Flight) -> None:
         """Chooses the few backends whose figures decide, probes those whose figure is old, and waits."""
         flight.sample = self._candidates(flight)
-        missing = [n for n in flight.sample if self._probe(self.backends[n])]
+        # Where the first sample was full, a new figure may tell better than what we have placed there since.
+        life = REASK_US if flight.second_look else self.fresh_us
+        missing = [n for n in flight.sample if self._probe(self.backends[n], life)]
         if missing:
             self.waiting[flight.request.id] = None
             hold = min(int(flight.cls.objective_us * HOLD_SHARE), (flight.deadline - self.now) // 4)
@@ -182,9 +186,9 @@
         else:
             self._place(flight)
 
-    def _probe(self, known: Known) -> bool:
+    def _probe(self, known: Known, life_us: int) -> bool:
         """Asks for the load of a backend unless its figure is fresh; True while an answer is to come."""
-        fresh = known.load is not None and self.now - known.load_at < self.fresh_us
+        fresh = known.load is not None and self.now - known.load_at < life_us
         if fresh or not (self.settings.may_probe and self.settings.reports_load):
             return False
         if known.probed_at is None:  # never two probes at one that does not answer
@@ -224,7 +228,7 @@
         patience = int(min(left, flight.cls.objective_us * aims))
         flight.tried.append(name)
         flight.out = True
-        self.backends[name].placed += 1
+        self.backends[name].placed.append(self.now)
         self.actions.append(api.Attempt(flight.request.id, name, self.now + max(patience, 1)))
 
     # Weights.
@@ -248,7 +252,7 @@
         trust = min(1.0, self.fresh_us / max(1, self.now - known.load_at))
         load = self.average + (known.load - self.average) * trust
         backlog = max(self._delay(known), known.backlog_s * trust)
-        return load + known.placed * self._load_of_one(known) + backlog / WORK_OFF_S
+        return load + len(known.placed) * self._load_of_one(known) + backlog / WORK_OFF_S
 
     def _delay(self, known: Known) -> float:
         return known.delay_s if self.now - known.delay_at < SLOW_LIFE_US else 0.0
@@ -421,7 +425,7 @@
         if cut and known is not None:
             known.cut_at = self.now
         if not flight.stands and known is not None:
-            known.placed = max(0, known.placed - 1)
+            del known.placed[-1:]
             if event.status in FAILURES:
                 self._strike(known)
         if event.finished or flight.stands:
@@ -494,7 +498,8 @@
         for value in (report.load, report.utilisation, report.inflight, report.queue):
             if value is not None and _sane(value):
                 self.full = FULL_LOAD if value in (report.load, report.utilisation) else math.inf
-                known.load, known.load_at, known.placed = value, self.now, 0
+                known.load, known.load_at = value, self.now
+                known.placed = [at for at in known.placed if self.now - at < REPORT_AGE_US]
                 known.backlog_s = report.backlog_s if report.backlog_s and _sane(report.backlog_s) else 0.0
                 self.reports = min(self.reports + 1, AVERAGE_SPAN)
                 # A slowed backend reports many times what it can do: to the fleet it is no more than full.
@@ -515,7 +520,7 @@
         if event.token == LOOK:
             for known in self.backends.values():
                 if known.open and known.info.state is State.RUNNING:
-                    self._probe(known)
+                    self._probe(known, self.fresh_us)
             self.looking = False
             self._look_later()
             return
--- a/vanegw/state.py
+++ b/vanegw/state.py
@@ -20,7 +20,7 @@
     load: float | None = None
     load_at: int = 0
     backlog_s: float = 0.0
-    placed: int = 0  # own placements since the load was reported
+    placed: list[int] = field(default_factory=list)  # when own placements were made that no report shows yet
     suspect_until: float = -math.inf
     strikes: int = 0
     delay_s: float = 0.0  # seconds that a message took there at the last note
