Ask a discovery that fails again within 4 s; test the reload on both fronts

Read, then checked in the protocol: what discovery has to tell counts as told 6 s after it has it, and a balancer is held to it whether it asked or not. vanegw/rules.py, _on_list, waits up to 8 s after the third failure, by chance: a drain that comes with discovery's return could be broken by 2 s. The call itself takes up to 2 s to connect, so 4 s are left. Ruled out: a watch that waits (2 s beyond its wait), and the number of calls (a half each second from a balancer). The reload's scenarios run on both fronts: another discovery, a list in the file instead, and back.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -8,6 +8,7 @@
     b0 idle         no connection waits there
     c1 connect      opens the connection and says nothing
     list b0 STATE   discovery tells; 'cold': started just now
+    reload NAME     a new configuration, which names another discovery; 'none': names none, and no host
     wait NAME N     until a counter has reached N
 
 The words of ``WORDS`` (ask, taken, up, served, full ...) stand for the lines that a wire has for them.
@@ -116,21 +117,30 @@
         if discovery is not None:
             values["discovery"] = "{}:{}".format(*discovery.getsockname())
             self.listening["d"] = discovery
+        self.values = values | {"listen": "127.0.0.1:0", "checks": checks}
         self.counters = Counters()
-        self.front: Front
-        if wire == "lines":
-            made = config.read(values | {"listen": "127.0.0.1:0", "checks": checks}).lines
-            assert made is not None
-            self.front = LineFront(made, self.counters)
-        else:
-            more = {"listen": "127.0.0.1:0", "checks": checks, "known": values.pop("known"),
-                    "max_payload": 100, "users": {"once": {"class": "once"}}}
-            got = config.read(values | {"nats": more}).nats
-            assert got is not None
-            self.front = NatsFront(got, self.counters)
+        made = self.read()
+        self.front: Front = (NatsFront(made, self.counters) if isinstance(made, config.NatsConfig)
+                             else LineFront(made, self.counters))
         Stage.made.append(self)
         self.front.start()
 
+    def read(self) -> config.FrontConfig:
+        if self.wire == "lines":
+            made = config.read(self.values).lines
+        else:  # what a front has of its own stands in its table
+            own = {k: self.values[k] for k in ("listen", "checks", "known", "discovery") if k in self.values}
+            rest = {k: v for k, v in self.values.items() if k not in own}
+            made = config.read(rest | {"nats": own | {
+                "max_payload": 100, "users": {"once": {"class": "once"}}}}).nats
+        assert made is not None
+        return made
+
+    def reload(self, **changed: Any) -> None:
+        """A new configuration while the front runs; a change to None leaves the key out."""
+        self.values = {k: v for k, v in (self.values | changed).items() if v is not None}
+        self.front.reconfigure(self.read())
+
     def entry(self, name: str) -> dict[str, Any]:
         return {"host": name, "dial": "{}:{}".format(*self.listening[name].getsockname()),
                 "health": "in_service"}
@@ -148,6 +158,12 @@
         actor, verb, rest = (*line.split(" ", 2), "")[:3]
         if actor == "wait":
             self.until(lambda: self.counters.get(verb) >= int(rest), f"{verb}: {self.counters.lines()}")
+        elif actor == "reload":  # follow DISCOVERY, or none: the list in the file, which is empty now
+            if verb == "none":
+                self.reload(discovery=None, known={"seq": 1, "hosts": []})
+            else:
+                self.listening[verb] = socket.create_server(("127.0.0.1", 0))
+                self.reload(discovery="{}:{}".format(*self.listening[verb].getsockname()))
         elif actor == "list":
             self.tell(verb, rest)
         elif verb in WORDS[self.wire]:
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import pytest
 
 from tests.scenario import Stage
@@ -96,3 +98,23 @@
     stage.play("".join(f"c{n} ask\n" for n in range(20)))
     stage.play("wait answered_refused 12")
     assert stage.counters.get("upstream_requests") <= 8
+
+
+EMPTY = '{"seq":1,"whole":true,"hosts":[]}'
+TELLS = f"raw HTTP/1.1 200 OK\\r\\nContent-Length: {len(EMPTY)}\\r\\n\\r\\n{EMPTY}\n"
+
+
+@BOTH
+@pytest.mark.parametrize("script", [
+    # The old discovery is left at once, the new one's list holds, and what stands stays.
+    "d expect GET /v1/servers?since=1&*\nreload d2\nd2 expect GET /v1/servers HTTP/1.1\nd2 expect Host:*\n"
+    "d2 expect \nd expect Host:*\nd expect \nd ends\n"
+    f"d2 {TELLS}d2 expect GET /v1/servers?since=1&*\nc2 ask\nc2 refused\nc1 says\nb0 hears",
+    # A file that names no discovery is itself the list.
+    "d expect GET *\nreload none\nc2 ask\nc2 refused\nb0 idle\nc1 says\nb0 hears",
+    # And one that names it again is followed again.
+    "d expect GET *\nreload none\nreload d2\nd2 expect GET /v1/servers HTTP/1.1",
+])
+def test_a_new_configuration_is_followed_and_drops_nobody(wire: str, script: str) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as discovery:
+        Stage(wire, discovery=discovery).play(STANDS + script)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -165,6 +165,10 @@
         assert only(relay.tell(api.TimerFired(timer.token)), api.Subscribe) == [api.Subscribe()]
         again = only(relay.tell(api.BackendList(api.ListMode.UNAVAILABLE)), api.SetTimer)
         assert len(again) == 1 and again[0].after_us <= SETTINGS.must_ask_in_us
+        # However long it was away: what it tells once it is back counts as told 6 s later.
+        for _ in range(9):
+            again = only(relay.tell(api.BackendList(api.ListMode.UNAVAILABLE)), api.SetTimer)
+        assert again[0].after_us <= 4_000_000
     assert max(delays) - min(delays) > 200_000
 
 
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -52,6 +52,7 @@
 MOVE_LEAST = 0.15  # but never below this part: a saturated backend that nobody leaves stays saturated
 COLD_SHARE = 0.5  # part of its fair share, times its warmth, for a cold backend: the rest is left to chance
 ASK_SPREAD_US = 1_000_000  # first subscription within this time, to spread relays that start together
+ASK_DOUBLINGS = 2  # of that spread after failures: what is told meanwhile counts as heard after 6 s
 LOOK_EVERY_US = 1_000_000  # about so often a backend that holds connections is asked for its load
 REASK_US = 400_000  # a full backend is asked again so soon: it may have been full of our own guesses
 REPORT_AGE_US = 700_000  # a report is about so old when it comes: placements since then are not in it
@@ -111,7 +112,7 @@
         if event.mode is ListMode.UNAVAILABLE:
             self.failed_asks += 1
             self._log("list unavailable")
-            self._ask_in(ASK_SPREAD_US * 2 ** min(self.failed_asks, 3))
+            self._ask_in(ASK_SPREAD_US * 2 ** min(self.failed_asks, ASK_DOUBLINGS))
             return
         self.failed_asks = 0
         if event.mode is not ListMode.CHANGES:
