Keep the times of 64 unanswered messages at most, however many a client sends

Read, then probed by a test: Standing.asked (memory/connections.py, _pass_up) took a time for each line that a client sends, with no bound while the host answers none; 500 lines left 500 entries, and 60 MB of line ends would leave 60 million. The oldest time alone tells who is mute, so 64 are kept. Nothing else there grows: buffers are 8 KiB.

--- a/bramblestile/memory/connections.py
+++ b/bramblestile/memory/connections.py
@@ -17,6 +17,7 @@
 from vanegw.interface import Status
 
 MOST = 8192  # bytes passed on at once
+MOST_ASKED = 64  # unanswered messages of one connection whose times are kept
 LAST_WORD = timedelta(seconds=1)  # after the downstream's end, for the upstream host to end too
 MOVE_BOUND = timedelta(milliseconds=500)  # a move waits so long for a message in passing to be whole
 WATCH_EVERY = timedelta(milliseconds=100)
@@ -184,7 +185,9 @@
                     self._end_with(violation.reply)
                     return
                 at = now()
-                self.asked.extend(at for message in messages if message.kind is Kind.ASK)
+                asks = sum(message.kind is Kind.ASK for message in messages)
+                # The oldest tell who is mute: a client that floods us with lines must not fill our memory.
+                self.asked.extend([at] * min(asks, MOST_ASKED - len(self.asked)))
                 passed = passed if have < len(buffer) else passed or have
                 try:
                     sockets.write(self.upstream, [view[:passed]])
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -80,3 +80,11 @@
     assert ours[0].recv(1) == b"" and not lobby.leave(ours[0]) and lobby.leave(ours[1])
     for sock in ours + theirs:
         sock.close()
+
+
+@BOTH
+def test_a_flood_of_messages_that_nobody_answers_is_passed_on_and_not_kept(wire: str) -> None:
+    stage = Stage(wire)
+    stage.play(SERVED + "c1 raw " + "PING\\r\\n" * 500 + "\n" + "b0 expect PING\n" * 500)
+    (standing,) = stage.front.connections.all()
+    assert 0 < len(standing.asked) <= 64
