Each balancer sends cold hosts its part of what all of them have room for

Clients sent away by a release or a lost zone came back two to eight times while the new hosts stood idle. At fault: _cold_allows let each draw of a cold host through with warmth x 0.5 / 4, one in thirty, whatever the others carried. That is right where warm hosts have room; with most hosts new or full it refuses four in five. It also bounded nothing: with many requests the sum over all balancers grew with them (up to 5.5 times the budget on small hosts). Change: the budget of rule 4 for all cold hosts together, from the settings, divided among the balancers. A part of a send is kept by chance, drawn once in fall_us. Weights count a host as large as it is warm.

--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -50,7 +50,6 @@
 SHARE_SLACK = 1.1  # times its share that a tenant may hold even then
 MOVE_ROOM = 4.0  # moves slow down when less than one over this is free below FULL_LOAD
 MOVE_LEAST = 0.15  # but never below this part: a saturated backend that nobody leaves stays saturated
-COLD_SHARE = 0.5  # part of its fair share, times its warmth, for a cold backend: the rest is left to chance
 ASK_SPREAD_US = 1_000_000  # first subscription within this time, to spread relays that start together
 ASK_DOUBLINGS = 2  # of that spread after failures: what is told meanwhile counts as heard after 6 s
 LOOK_EVERY_US = 2_000_000  # about so often a backend that holds connections is asked for its load
@@ -80,6 +79,8 @@
         self.logged: dict[str, int] = {}
         self.full = FULL_LOAD
         self.standing = 0
+        self.warmed: list[int] = []  # when this relay sent to cold backends, in the last fall_us
+        self.chance, self.chance_at = 0.0, -math.inf  # the part of a send that it may round up to
         self.looking = False  # a timer for the next look is set
         self.held: Counter[str | None] = Counter()  # own standing connections of each tenant
         self.lateness = 0.0  # share of the latest attempts that timed out
@@ -152,6 +153,7 @@
             return
         flight = Flight(event, cls, self.now + event.remaining_us)
         self.flights[event.id] = flight
+        flight.warms = self._may_warm()
         if self._beyond_share(event.tenant) or self.random.random() < JAM_REFUSAL * self.lateness**2:
             self._settle(flight)
         else:
@@ -230,6 +232,8 @@
         flight.tried.append(name)
         flight.out = True
         self.backends[name].placed.append(self.now)
+        if self._warmth(self.backends[name]) < 1:
+            self.warmed.append(self.now)
         self.actions.append(api.Attempt(flight.request.id, name, self.now + max(patience, 1)))
 
     # Weights.
@@ -239,7 +243,7 @@
         clamped = max(self._load(known), self.average / LIMITING_FACTOR)
         weight = (self.average / clamped) ** AGGRESSIVENESS if self.average > 0 else 1.0
         size = known.info.weight if self.settings.list_weights and known.info.weight > 0 else 1.0
-        return weight * self._nearness(known) * size
+        return weight * self._nearness(known) * size * self._warmth(known)
 
     def _nearness(self, known: Known) -> float:
         """Crossing zones is priced, not forbidden: another zone's weight falls with the price."""
@@ -253,24 +257,27 @@
         trust = min(1.0, self.fresh_us / max(1, self.now - known.load_at))
         load = self.average + (known.load - self.average) * trust
         backlog = max(self._delay(known), known.backlog_s * trust)
-        return load + len(known.placed) * self._load_of_one(known) + backlog / WORK_OFF_S
+        return load + len(known.placed) / self._fills(known) + backlog / WORK_OFF_S
 
     def _delay(self, known: Known) -> float:
         return known.delay_s if self.now - known.delay_at < SLOW_LIFE_US else 0.0
 
-    def _load_of_one(self, known: Known) -> float:
-        """What one connection adds to a backend, the more the colder it is, as far as this relay's own tell.
-        Right after a start they tell nothing: then it is what the shares sold say, lest a few look like a
-        full house."""
-        each = self.standing * self.settings.balancers / max(1, len(self.backends))
-        sold = sum(self.quotas.values()) / max(1, len(self.backends))
-        return min(self.average / max(each, 4.0), 1 / sold if sold else math.inf) / self._warmth(known)
-
-    def _cold_allows(self, known: Known) -> bool:
-        """A cold backend takes part in few draws, else all relays together push it over. Low load is no
-        invitation, nor are full others."""
-        warmth = self._warmth(known)
-        return warmth >= 1 or self.random.random() < warmth * COLD_SHARE / SAMPLE
+    def _fills(self, known: Known) -> float:
+        """Connections that fill a backend, as warm as it is: by this relay's own, or by the shares sold."""
+        hosts = max(1, len(self.backends))
+        held = max(self.standing * self.settings.balancers / hosts, 4.0) / (self.average or 1)
+        return max(held, sum(self.quotas.values()) / hosts) * self._warmth(known)
+
+    def _may_warm(self) -> bool:
+        """Rule 4 bounds what ALL relays send to a cold backend, and each sees its own sends alone: it keeps
+        to its part of what all cold ones have room for. Where that is less than one, chance decides, drawn
+        once in fall_us: a new chance at each request would add up."""
+        if self.now - self.chance_at >= self.settings.fall_us:
+            self.chance, self.chance_at = self.random.random(), self.now
+        self.warmed = [at for at in self.warmed if self.now - at < self.settings.fall_us]
+        cold = sum(self._fills(k) for k in self.backends.values() if self._warmth(k) < 1)
+        room = self.settings.fall_multiple * cold * self.settings.fall_us / max(1, self.settings.cold_us)
+        return len(self.warmed) + self.chance < room / self.settings.balancers
 
     def _warmth(self, known: Known) -> float:
         """The part of its capacity that a backend surely has by now: each connection fills more of it."""
@@ -283,7 +290,9 @@
 
     def _may_take(self, name: str, flight: Flight) -> bool:
         known = self.backends.get(name)
-        return known is not None and known.info.state is State.RUNNING and self._keyed_allows(known, flight)
+        if known is None or known.info.state is not State.RUNNING:
+            return False
+        return (flight.warms or self._warmth(known) >= 1) and self._keyed_allows(known, flight)
 
     def _is_well(self, name: str, flight: Flight) -> bool:
         """Fit for the first choice: not tried for this request, and not masked for its failures."""
@@ -292,7 +301,7 @@
 
     def _has_room(self, known: Known) -> bool:
         misses_aims = self._delay(known) >= (self.message_aim_s or math.inf)
-        return self._load(known) < self.full and not misses_aims and self._cold_allows(known)
+        return self._load(known) < self.full and not misses_aims
 
     def _keyed_allows(self, known: Known, flight: Flight) -> bool:
         """A keyed request that may have run goes only where, and while, its repeat is dropped."""
@@ -314,10 +323,8 @@
     def _anywhere(self, flight: Flight) -> list[str]:
         chosen: list[str] = []
         for _ in range(SAMPLE * 4 if self.table else 0):
-            if len(chosen) == SAMPLE:
-                break
             name = self.table[self._pick(self.sums)]
-            if name not in chosen and name not in flight.sample and self._is_well(name, flight):
+            if len(chosen) < SAMPLE and name not in chosen + flight.sample and self._is_well(name, flight):
                 chosen.append(name)
         # The luckless case: a sample of whatever is fit, in the end even tried or suspect.
         left = [] if chosen else [n for n in self.table if self._may_take(n, flight)]
@@ -459,7 +466,7 @@
         harmless = (flight.ran_on is None or cls.effect is api.Effect.SAFE
                     or (cls.effect is api.Effect.KEYED and cls.dedup_scope is Scope.ALL))
         self._drop(flight.request.id)
-        # Never at once: what was in the way now will not have gone, and a client has few tries.
+        # Never at once: what was in the way will not have gone, and a client has few tries.
         share = max(self.lateness, REST_SHARE * (0.5 + self.random.random()))
         wait = int(self.settings.max_retry_after_us * min(1.0, share))
         self.actions.append(api.Refuse(flight.request.id, wait) if harmless else api.Fail(flight.request.id))
@@ -470,8 +477,7 @@
         self.waiting.pop(request, None)
         if flight is not None and flight.stands:
             self._stand(flight, -1)
-            known = self.backends.get(flight.tried[-1])
-            if known is not None:
+            if (known := self.backends.get(flight.tried[-1])) is not None:
                 known.open.pop(request, None)
         return flight
 
--- a/vanegw/state.py
+++ b/vanegw/state.py
@@ -44,6 +44,7 @@
     deadline: int
     sample: list[str] = field(default_factory=list)
     second_look: bool = False  # the first sample was full
+    warms: bool = True  # may go to a cold backend
     tried: list[str] = field(default_factory=list)
     out: bool = False  # an attempt is out
     ran_on: api.Backend | None = None  # the first backend on which it may have run
