--- a/bramblestile/memory/cluster.py
+++ b/bramblestile/memory/cluster.py
@@ -28,7 +28,8 @@
 
 class Cluster:
     """Nothing is ever sent to an upstream host that is not in here. An opinion, which a check or the host
-    itself gives, is laid over what discovery lists until it is taken back or the host starts anew."""
+    itself gives, is laid over what discovery lists until it is taken back, the host starts anew, or discovery, which
+    had it draining, lists it as in service again."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
@@ -46,7 +47,8 @@
                 self._closed &= kept.keys()
             for host in hosts:
                 old = self._listed.get(host.id)
-                if host.state is State.GONE or (old is not None and old.born != host.born):
+                again = old is not None and old.state is State.DRAINING and host.state is State.RUNNING
+                if host.state is State.GONE or again or (old is not None and old.born != host.born):
                     self._opinions.pop(host.id, None)
                     self._closed.discard(host.id)
                 if host.state is State.GONE:
--- a/bramblestile/memory/connections.py
+++ b/bramblestile/memory/connections.py
@@ -159,15 +159,17 @@
 
     def _hear(self, messages: list[Message], observer: Observer) -> None:
         for message in messages:
+            self.last = message.kind
             if message.kind is Kind.ANSWER:
                 self.answered = now()
             if message.kind is Kind.ANSWER and self.asked:
                 observer.delay(self, now() - self.asked.popleft())
             elif message.kind is Kind.LOAD:
                 observer.load(self, message.value)
-            elif message.kind is Kind.DRAINS:
+            elif message.kind in (Kind.DRAINS, Kind.AWAY):
+                # It sends its clients away because it drains, and discovery's word may come seconds later: until
+                # then many balancers would send it the very clients that it has just sent away.
                 observer.drains(self)
-            self.last = message.kind
 
     def _write_down(self, data: memoryview) -> bool:
         """Passes data on, then says the farewell if a move waits for this message's end."""
@@ -231,8 +233,8 @@
             self.move_wanted = True  # the writer has the lock and says the farewell itself
             return True
         with self.lock_held():
-            if self.moved or self.refused or self.over.is_set():
-                return False
+            if self.moved or self.refused or self.over.is_set() or self.last is Kind.AWAY:
+                return False  # its host has told it itself: a second farewell would be a line of nobody's
             if not (self.started and self.from_upstream.between()):
                 self.move_wanted = True
                 return True
--- a/bramblestile/wire/lines.py
+++ b/bramblestile/wire/lines.py
@@ -194,7 +194,7 @@
             return NotUp(Status.CUT)
         word = text(line).partition(" ")[0]
         if word != "UP":
-            return NotUp(OUTCOMES.get(word, Status.ERROR))
+            return NotUp(OUTCOMES.get(word, Status.ERROR), host_drains=word == "MOVE")
         return Up(Standing(
             self._asked.id, "", self._sock, upstream, MOVE, LineFramer(FROM_UPSTREAM, Kind.ANSWER),
             PlainFramer(), first_up=self._reader.rest(), first_down=bytes(line) + reader.rest()))
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -35,6 +35,12 @@
     "c1 send OPEN 7 8 c=feed,d=900\nb0 expect OPEN*\nb0 send UP r\nc1 expect UP r\nb0 send MOVE\n"
     "b0 close\n"
     "c1 expect MOVE\nc1 ends\nwait ended_cancelled 1",
+    # ... and so says that it drains, before discovery does: it gets nobody back until it is listed anew.
+    "c1 send OPEN 7 8 c=feed,d=900\nb0 expect OPEN*\nb0 send UP r\nc1 expect UP r\nb0 send MOVE\n"
+    "wait told_draining_by_host 1\nc2 ask\nc2 refused\nb0 idle\n"
+    "list b0 draining\nlist b0 running\nc3 ask\nb0 accept\nb0 taken",
+    "c1 send OPEN 7 8 c=feed,d=900\nb0 expect OPEN*\nb0 send MOVE\nc1 expect BUSY*\nc2 ask\nc2 refused\n"
+    "b0 idle\nlist b0 draining\nlist b0 running\nc3 ask\nb0 accept\nb0 taken",
     "c1 send OPEN 7 8 c=feed,d=900\nb0 expect OPEN*\nb0 send MOVE\nc1 expect BUSY*\n"
     "wait upstream_cancelled 1",
     "c1 send OPEN 7 8 c=feed,d=900\nb0 expect OPEN*\nb0 send BYE\nb0 close\nc1 expect BUSY*",
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -29,7 +29,7 @@
 PATIENCE_SHARE = 1 / 3  # part of the set-up aim for an attempt while another may follow
 ZONE_AVERSION = 50.0  # weight of another zone is 1 / (1 + this x the price of crossing)
 PATIENCE_LATE = 4.0  # aims added to that, times the share of this relay's attempts that timed out of late
-ONE_CUT_US = 20_000  # connections that one backend cuts within this of each other count as one failure
+YOUNG_US = 4_000_000  # a connection that is cut within this of its start was shed
 REST_SHARE = 0.3  # about this part of the longest wait is what a refused client is told at least
 LATE_SPAN = 4  # attempts over which that share is remembered: a storm is over in seconds
 JAM_REFUSAL = 0.8  # part of arrivals refused when all is late or cut: each adds to it, a few tell its end
@@ -53,6 +53,7 @@
 ASK_SPREAD_US = 1_000_000  # first subscription within this time, to spread relays that start together
 ASK_DOUBLINGS = 2  # of that spread after failures: what is told meanwhile counts as heard after 6 s
 LOOK_EVERY_US = 2_000_000  # about so often a backend that holds connections is asked for its load
+FEW = 4  # relays: with more, each sees so much less, and one that errs is masked so much longer
 REASK_US = 400_000  # a full backend is asked again so soon: it may have been full of our own guesses
 REPORT_AGE_US = 700_000  # a report is about so old when it comes: placements since then are not in it
 LOG_EVERY_US = 60_000_000  # between two equal lines for the operator
@@ -227,7 +228,8 @@
         left = flight.deadline - self.now
         # Where many attempts time out all is slow, and to send again early would pile work on work.
         more = len(flight.tried) + 1 < self.settings.try_limit
-        aims = PATIENCE_SHARE + PATIENCE_LATE * self.lateness if more else math.inf
+        share = PATIENCE_SHARE / self._nearness(self.backends[name])
+        aims = share + PATIENCE_LATE * self.lateness if more else math.inf
         patience = int(min(left, flight.cls.objective_us * aims))
         flight.tried.append(name)
         flight.out = True
@@ -352,8 +354,6 @@
         # If most look bad, the evidence is bad (late reports, a cut zone), not the fleet.
         suspects = sum(self.now < self.backends[n].suspect_until for n in self.table)
         self.doubt = suspects > DOUBT_SHARE * len(self.table)
-        if self.doubt:
-            self._log("most backends look bad")
 
     # What comes back.
 
@@ -361,7 +361,7 @@
         flight, known = self.flights.get(event.id), self.backends.get(event.backend)
         if flight is None:
             return
-        flight.stands = True
+        flight.stands, flight.ran_at = True, self.now
         self._stand(flight, 1)
         self._score(False)
         if known is not None:
@@ -426,16 +426,13 @@
         if flight is None or event.attempt != len(flight.tried) - 1:
             return
         flight.out = False
-        # A backend that dies cuts all that it held at once: that is one failure, not a jam of the fleet.
-        cut = flight.stands and event.status is Status.CUT and known is not None
-        if not (cut and known is not None and self.now - known.cut_at < ONE_CUT_US):
-            self._score(event.status in (Status.TIMED_OUT, Status.ERROR, Status.CUT))
-        if cut and known is not None:
-            known.cut_at = self.now
+        # A full backend sheds its newest. One that cuts old connections or errs at once is no jam of the fleet.
+        shed = event.status is Status.CUT and self.now - flight.ran_at < YOUNG_US
+        self._score(shed or event.status is Status.TIMED_OUT)
         if not flight.stands and known is not None:
             del known.placed[-1:]
             if event.status in FAILURES:
-                self._strike(known)
+                self._strike(known, event.status is Status.ERROR)
         if event.finished or flight.stands:
             self._drop(event.id)
             return
@@ -447,9 +444,11 @@
     def _score(self, late: bool) -> None:
         self.lateness += (late - self.lateness) / LATE_SPAN
 
-    def _strike(self, known: Known) -> None:
-        """A backend that failed an attempt or a probe is masked, longer each time, then tried again."""
-        known.suspect_until = self.now + SUSPECT_AIMS * self.aim_us * 2**known.strikes
+    def _strike(self, known: Known, erred: bool = False) -> None:
+        """A backend that failed an attempt or a probe is masked, longer each time, then tried again. One that
+        errs looks the better for it: the fewer requests a relay sees, the longer it is masked."""
+        rest = max(1.0, self.settings.balancers / FEW) if erred else 1.0
+        known.suspect_until = self.now + SUSPECT_AIMS * self.aim_us * 2**known.strikes * rest
         known.strikes = min(known.strikes + 1, MOST_STRIKES)
 
     def _retry(self, flight: Flight) -> None:
@@ -492,7 +491,7 @@
             known.probed_at = None
             if event.status is Status.SERVED:
                 self._report(known, event.report)
-            elif event.status is not Status.NO_ROOM:
+            elif event.status not in (Status.NO_ROOM, Status.ERROR):  # asked by too many, it answers errors
                 self._strike(known)
         for flight in [self.flights[r] for r in self.waiting if event.backend in self.flights[r].sample]:
             if all(n not in self.backends or self.backends[n].probed_at is None for n in flight.sample):
--- a/vanegw/state.py
+++ b/vanegw/state.py
@@ -25,7 +25,6 @@
     strikes: int = 0
     delay_s: float = 0.0  # seconds that a message took there at the last note
     delay_at: int = 0
-    cut_at: float = -math.inf  # when it last cut a standing connection
     relieved_at: float = -math.inf  # when connections were last moved off it for its load
     probed_at: int | None = None  # when the probe that is out was sent
     open: dict[str, None] = field(default_factory=dict)  # own connections, in order
