In a rush weights lean less; hosts, their fill and a group's homes count by their size

Change: to every load comes what the others place while a figure is in use: own arrivals within fresh_us, times the other balancers, over what the fleet holds. Fill and homes go by size.

--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -56,7 +56,6 @@
 FEW = 4  # relays: with more, each sees so much less, and one that errs is masked so much longer
 REASK_US = 400_000  # a full backend is asked again so soon: it may have been full of our own guesses
 REPORT_AGE_US = 700_000  # a report is about so old when it comes: placements since then are not in it
-LOG_EVERY_US = 60_000_000  # between two equal lines for the operator
 ASK, HOLD, LEFT, LOOK = "ask", "hold ", "left ", "look"  # what a timer is for
 FAILURES = (Status.ERROR, Status.NO_ROOM, Status.TIMED_OUT, Status.NO_ROUTE, Status.CUT)
 
@@ -77,9 +76,10 @@
         self.table_at: int | None = None
         self.doubt = False  # most backends look bad: do not believe it
         self.failed_asks = 0
-        self.logged: dict[str, int] = {}
         self.full = FULL_LOAD
         self.standing = 0
+        self.size = 1.0  # of all backends together
+        self.arrivals: list[int] = []  # when this relay's requests came, as long ago as a figure may be old
         self.warmed: list[int] = []  # when this relay sent to cold backends, in the last fall_us
         self.chance, self.chance_at = 0.0, -math.inf  # the part of a send that it may round up to
         self.looking = False  # a timer for the next look is set
@@ -113,7 +113,6 @@
     def _on_list(self, event: api.BackendList) -> None:
         if event.mode is ListMode.UNAVAILABLE:
             self.failed_asks += 1
-            self._log("list unavailable")
             self._ask_in(ASK_SPREAD_US * 2 ** min(self.failed_asks, ASK_DOUBLINGS))
             return
         self.failed_asks = 0
@@ -138,6 +137,7 @@
                 if info.state is State.DRAINING and known.open:
                     # Most backends send their clients away themselves; who is left then is told by us.
                     self._timer(self.settings.drain_grace_us, LEFT + info.name)
+        self.size = sum(self._size(known) for known in self.backends.values())
         if event.mode is ListMode.RESTORED and self.settings.list_on_request:
             self._ask_in(ASK_SPREAD_US)
 
@@ -154,6 +154,7 @@
             return
         flight = Flight(event, cls, self.now + event.remaining_us)
         self.flights[event.id] = flight
+        self.arrivals = [at for at in self.arrivals if self.now - at < self.fresh_us] + [self.now]
         flight.warms = self._may_warm()
         if self._beyond_share(event.tenant) or self.random.random() < JAM_REFUSAL * self.lateness**2:
             self._settle(flight)
@@ -172,8 +173,8 @@
             self._timer(int(LOOK_EVERY_US * (0.5 + self.random.random())), LOOK)
 
     def _beyond_share(self, tenant: str | None) -> bool:
-        """Under pressure a tenant that holds more than its share waits: what is beyond it is worth little and
-        costs the others theirs. A share of less than one connection a relay is kept by chance."""
+        """Under pressure a tenant that holds more than its share waits: what is beyond it is worth little.
+        A share of less than one connection a relay is kept by chance."""
         quota = self.quotas.get(tenant or "", math.inf) / self.settings.balancers
         return self.average > PRESSURE and self.held[tenant] + self.random.random() > quota * SHARE_SLACK
 
@@ -242,10 +243,14 @@
 
     def _weight(self, known: Known) -> float:
         """Relative size x (1 / clamped load) ^ AGGRESSIVENESS, times what the exceptions say."""
-        clamped = max(self._load(known), self.average / LIMITING_FACTOR)
-        weight = (self.average / clamped) ** AGGRESSIVENESS if self.average > 0 else 1.0
-        size = known.info.weight if self.settings.list_weights and known.info.weight > 0 else 1.0
-        return weight * self._nearness(known) * size * self._warmth(known)
+        # What the others have placed since shows in no figure: in a rush, one that looks idle draws them all.
+        came = len(self.arrivals) * (self.settings.balancers - 1) / self._fills(None)
+        clamped = max(self._load(known), self.average / LIMITING_FACTOR) + came
+        weight = ((self.average + came) / clamped) ** AGGRESSIVENESS if self.average > 0 else 1.0
+        return weight * self._nearness(known) * self._size(known) * self._warmth(known)
+
+    def _size(self, known: Known) -> float:
+        return known.info.weight if self.settings.list_weights and known.info.weight > 0 else 1.0
 
     def _nearness(self, known: Known) -> float:
         """Crossing zones is priced, not forbidden: another zone's weight falls with the price."""
@@ -264,11 +269,11 @@
     def _delay(self, known: Known) -> float:
         return known.delay_s if self.now - known.delay_at < SLOW_LIFE_US else 0.0
 
-    def _fills(self, known: Known) -> float:
-        """Connections that fill a backend, as warm as it is: by this relay's own, or by the shares sold."""
-        hosts = max(1, len(self.backends))
-        held = max(self.standing * self.settings.balancers / hosts, 4.0) / (self.average or 1)
-        return max(held, sum(self.quotas.values()) / hosts) * self._warmth(known)
+    def _fills(self, known: Known | None) -> float:
+        """Connections that fill a backend, as warm as it is, or all: as the shares or own ones tell."""
+        part = self._size(known) * self._warmth(known) / self.size if known else 1.0
+        held = max(self.standing * self.settings.balancers, 4.0 * len(self.backends)) / (self.average or 1)
+        return (sum(self.quotas.values()) or held or 1.0) * part
 
     def _may_warm(self) -> bool:
         """Rule 4 bounds what ALL relays send to a cold backend, and each sees its own sends alone: it keeps
@@ -340,7 +345,7 @@
             known = self.backends.get(name)
             if known is not None:
                 part = closeness(known, flight.request.group or 0)
-                ranked.append((-math.log(part) / self._nearness(known), name))
+                ranked.append((-math.log(part) / self._nearness(known) / self._size(known), name))
         best = [name for _, name in nsmallest(SAMPLE * 4, ranked)]
         return [n for n in best if self._is_well(n, flight)][:SAMPLE] or self._anywhere(flight)
 
@@ -397,7 +402,7 @@
             self._relieve(known, load)
 
     def _delayed(self, known: Known, delay_s: float, aim_s: float) -> float:
-        """Takes what a message takes there; the load that this shows where messages miss their aim, or 0."""
+        """Takes what a message takes there; the load that this shows where it misses its aim, or 0."""
         since = self.now - known.delay_at
         rise = (delay_s - known.delay_s) * 1e6 / since if 0 < since < SLOW_LIFE_US else 0.0
         known.delay_s, known.delay_at = delay_s, self.now
@@ -426,7 +431,7 @@
         if flight is None or event.attempt != len(flight.tried) - 1:
             return
         flight.out = False
-        # A full backend sheds its newest. One that cuts old connections or errs at once is no jam of the fleet.
+        # A full backend sheds its newest. One that cuts old connections or errs is no jam of the fleet.
         shed = event.status is Status.CUT and self.now - flight.ran_at < YOUNG_US
         self._score(shed or event.status is Status.TIMED_OUT)
         if not flight.stands and known is not None:
@@ -538,11 +543,6 @@
         if flight is not None and flight.request.id in self.waiting:
             self._place(flight)
 
-    def _log(self, text: str) -> None:
-        if self.now >= self.logged.get(text, -math.inf) + LOG_EVERY_US:
-            self.logged[text] = self.now
-            self.actions.append(api.Log(text))
-
     def _timer(self, after_us: int, token: str) -> None:
         self.actions.append(api.SetTimer(max(1, after_us), token))
 
