In a rush a host counts as full sooner, by half of what the others send meanwhile

At fault: _has_room compares a figure that all see with the full mark and knows of its own placements only. Change: half of what the others place while a figure is in use counts there too (half has come since it was taken).

--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -118,8 +118,7 @@
         self.failed_asks = 0
         if event.mode is not ListMode.CHANGES:
             named = {b.name for b in event.backends}
-            for name in [n for n in self.backends if n not in named]:
-                del self.backends[name]
+            self.backends = {n: k for n, k in self.backends.items() if n in named}
             self.table_at = None  # the draw must never name a backend that is no longer listed
         for info in event.backends:
             known = self.backends.get(info.name)
@@ -243,12 +242,14 @@
 
     def _weight(self, known: Known) -> float:
         """Relative size x (1 / clamped load) ^ AGGRESSIVENESS, times what the exceptions say."""
-        # What the others have placed since shows in no figure: in a rush, one that looks idle draws them all.
-        came = len(self.arrivals) * (self.settings.balancers - 1) / self._fills(None)
-        clamped = max(self._load(known), self.average / LIMITING_FACTOR) + came
-        weight = ((self.average + came) / clamped) ** AGGRESSIVENESS if self.average > 0 else 1.0
+        clamped = max(self._load(known), self.average / LIMITING_FACTOR) + self._came()
+        weight = ((self.average + self._came()) / clamped) ** AGGRESSIVENESS if self.average > 0 else 1.0
         return weight * self._nearness(known) * self._size(known) * self._warmth(known)
 
+    def _came(self) -> float:
+        """What the others place while a figure is in use, as load: in a rush all see the same idle one."""
+        return len(self.arrivals) * (self.settings.balancers - 1) / self._fills(None)
+
     def _size(self, known: Known) -> float:
         return known.info.weight if self.settings.list_weights and known.info.weight > 0 else 1.0
 
@@ -308,7 +309,8 @@
 
     def _has_room(self, known: Known) -> bool:
         misses_aims = self._delay(known) >= (self.message_aim_s or math.inf)
-        return self._load(known) < self.full and not misses_aims
+        # Half of what came has come since the figure was taken.
+        return self._load(known) + self._came() / 2 < self.full and not misses_aims
 
     def _keyed_allows(self, known: Known, flight: Flight) -> bool:
         """A keyed request that may have run goes only where, and while, its repeat is dropped."""
