--- a/bramblestile/memory/decisions.py
+++ b/bramblestile/memory/decisions.py
@@ -102,6 +102,8 @@
     def list(self, mode: api.ListMode, hosts: Sequence[UpstreamHost]) -> None:
         """News of the cluster. The addresses come first: the module may choose a new host at once."""
         seen = [] if mode is api.ListMode.UNAVAILABLE else self._cluster.apply(mode, hosts)
+        if mode is api.ListMode.UNAVAILABLE:
+            self._counters.add("list_unavailable")
         self.tell(api.BackendList(mode, tuple(backend(h) for h in seen)))
 
     def opine(self, name: str, takes_work: bool | None, share: float | None = None) -> bool:
@@ -172,6 +174,7 @@
         elif isinstance(action, api.Move):
             self.on_move(action.id)
         elif isinstance(action, api.Subscribe):
+            self._counters.add("list_asked")
             self.on_subscribe()
         elif isinstance(action, api.Log):
             self._log.warning("module", text=action.text)
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -87,7 +87,8 @@
      "a\\r\\n{\"seq\":7,\"\\r\\n1b\\r\\nwhole\":true,\"hosts\":[]    }\\r\\n0\\r\\n\\r\\n\n"
      "d expect GET /v1/servers?since=7&*\n", "c1 ask\nc1 refused\nb0 idle"),
     # A failed call keeps the list, and another comes after a pause, from the version that is held.
-    (answer("503 Service Unavailable") + "d expect GET /v1/servers?since=1&*\n", "c1 ask\nb0 taken"),
+    (answer("503 Service Unavailable") + "d expect GET /v1/servers?since=1&*\n",
+     "c1 ask\nb0 taken\nwait list_unavailable 1\nwait list_asked 2"),
     ("d reset\nd accept\nd expect GET /v1/servers?since=1&*\n", "c1 ask\nb0 taken"),
     (answer("200 OK", "{half") + "d expect GET /v1/servers?since=1&*\n", "c1 ask\nb0 taken"),
     (answer("200 OK", LIST.format(2, "true", '{"host":"b0"}')) + "d expect GET /v1/servers?since=1&*\n",
