A broken weight in the list counts as one

A host listed with an infinite or absurd size took the whole of what fills the fleet: every other host counted as full. Found by reading the change; a test with five broken weights fails without it.

--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -153,3 +153,15 @@
             relay.now += 240_000
             sent += len(only(relay.request(tenant="t"), api.Attempt))
     assert sent < 2 * BALANCERS  # of four; 280 x (1 - 0.7) = 84 have room, before it was all 160
+
+
+@pytest.mark.parametrize("weight", [float("inf"), float("nan"), -1.0, 0.0, 1e300])
+def test_a_broken_weight_in_the_list_counts_as_one(weight: float) -> None:
+    # One infinite size left no other host any part of the fleet: what fills them was nothing, and all were full.
+    relay = Relay(SETTINGS, 1, 0, {f"b{n}": 0.3 for n in range(4)})
+    relay.show(*[api.Backend(f"b{n}", zone="z0", weight=weight if n == 0 else 1.0) for n in range(4)])
+    chosen = set()
+    for _ in range(60):
+        relay.now += 10_000_000
+        chosen.add(relay.pick(tenant="t"))
+    assert len(chosen) == 4
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -251,7 +251,8 @@
         return len(self.arrivals) * (self.settings.balancers - 1) / self._fills(None)
 
     def _size(self, known: Known) -> float:
-        return known.info.weight if self.settings.list_weights and known.info.weight > 0 else 1.0
+        told = self.settings.list_weights and 0 < known.info.weight <= ABSURD
+        return known.info.weight if told else 1.0
 
     def _nearness(self, known: Known) -> float:
         """Crossing zones is priced, not forbidden: another zone's weight falls with the price."""
@@ -309,8 +310,7 @@
 
     def _has_room(self, known: Known) -> bool:
         misses_aims = self._delay(known) >= (self.message_aim_s or math.inf)
-        # Half of what came has come since the figure was taken.
-        return self._load(known) + self._came() / 2 < self.full and not misses_aims
+        return self._load(known) + self._came() / 2 < self.full and not misses_aims  # half came since
 
     def _keyed_allows(self, known: Known, flight: Flight) -> bool:
         """A keyed request that may have run goes only where, and while, its repeat is dropped."""
