--- a/tests/test_trace_tools.py
+++ b/tests/test_trace_tools.py
@@ -9,6 +9,7 @@
 import json
 import math
 import os
+import signal
 import subprocess
 import sys
 from collections.abc import Sequence
@@ -137,8 +138,10 @@
 
 def test_an_interrupted_import_leaves_nothing_under_its_name(tmp_path: Path) -> None:
     out = tmp_path / "o.trace"
+    # A shell's background job ignores SIGINT, and what it starts inherits that: the command must hear it here.
     with subprocess.Popen([sys.executable, "-m", "bramblestile", "trace", "import", "-", str(out)],
-                          stdin=subprocess.PIPE, stderr=subprocess.PIPE) as command:
+                          stdin=subprocess.PIPE, stderr=subprocess.PIPE,
+                          preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL)) as command:
         assert command.stdin is not None and command.stderr is not None
         command.stdin.write(b"".join(to_json(r) + b"\n" for r in ROWS))
         command.stdin.flush()
