A host listed in service again keeps what checks and certificates said of it

A check says once that a host is down, and a refused certificate closes it once, so a down or unproven host would have got new work. The host's own word is now kept by itself; close and drains share one step, and the three ways of telling the module of it another. Sets are cut down in place, as a thread may hold one. A test of three cases fails without it.

--- a/bramblestile/memory/cluster.py
+++ b/bramblestile/memory/cluster.py
@@ -28,14 +28,16 @@
 
 class Cluster:
     """Nothing is ever sent to an upstream host that is not in here. An opinion, which a check or the host
-    itself gives, is laid over what discovery lists until it is taken back, the host starts anew, or discovery, which
-    had it draining, lists it as in service again."""
+    itself gives, is laid over what discovery lists until it is taken back or the host starts anew. A host's own word
+    that it drains ends too where discovery, which had it draining, lists it as in service again; a check's word and a
+    refused certificate outlast that, since nobody says them a second time."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._listed: dict[str, UpstreamHost] = {}
         self._opinions: dict[str, tuple[bool, float]] = {}  # takes work, share of the listed weight
         self._closed: set[str] = set()  # take nothing new, and keep what they hold
+        self._leaving: set[str] = set()  # have said themselves that they drain
 
     def apply(self, mode: ListMode, hosts: Sequence[UpstreamHost]) -> list[UpstreamHost]:
         """Takes discovery's news; returns them as the decisions are to hear them."""
@@ -44,13 +46,17 @@
                 kept = {host.id: host for host in hosts}
                 self._opinions = {n: o for n, o in self._opinions.items() if n in kept}
                 self._listed = {n: h for n, h in self._listed.items() if n in kept}
-                self._closed &= kept.keys()
+                self._closed.intersection_update(kept)
+                self._leaving.intersection_update(kept)
             for host in hosts:
                 old = self._listed.get(host.id)
                 again = old is not None and old.state is State.DRAINING and host.state is State.RUNNING
-                if host.state is State.GONE or again or (old is not None and old.born != host.born):
+                anew = host.state is State.GONE or (old is not None and old.born != host.born)
+                if anew:
                     self._opinions.pop(host.id, None)
                     self._closed.discard(host.id)
+                if anew or again:
+                    self._leaving.discard(host.id)
                 if host.state is State.GONE:
                     self._listed.pop(host.id, None)
                 else:
@@ -65,24 +71,35 @@
                 return None
             before, (works, part) = self._seen(host), self._opinions.get(name, (True, 1.0))
             works = works if takes_work is None else takes_work
+            if takes_work:
+                self._leaving.discard(name)
             self._opinions[name] = (works, part if share is None else share)
             after = self._seen(host)
             return after if after != before else None
 
     def close(self, name: str, closed: bool) -> UpstreamHost | None:
         """Nothing new to a host that cannot prove who it is; what stands there stays. The host where this is news."""
+        return self._mark(self._closed, name, closed)
+
+    def drains(self, name: str) -> UpstreamHost | None:
+        """The host has said itself that it drains. The host where this is news."""
+        return self._mark(self._leaving, name, True)
+
+    def _mark(self, marked: set[str], name: str, on: bool) -> UpstreamHost | None:
         with self._lock:
             host = self._listed.get(name)
             if host is None:
                 return None
             before = self._seen(host)
-            (self._closed.add if closed else self._closed.discard)(name)
+            (marked.add if on else marked.discard)(name)
             after = self._seen(host)
             return after if after != before else None
 
     def _seen(self, host: UpstreamHost) -> UpstreamHost:
         takes_work, share = self._opinions.get(host.id, (True, 1.0))
-        state = State.DRAINING if host.state is State.RUNNING and not takes_work else host.state
+        state = host.state
+        if state is State.RUNNING and (not takes_work or host.id in self._leaving):
+            state = State.DRAINING
         if state is State.RUNNING and host.id in self._closed:
             state = State.CLOSED
         return replace(host, state=state, weight=host.weight * share)
--- a/bramblestile/memory/decisions.py
+++ b/bramblestile/memory/decisions.py
@@ -107,17 +107,21 @@
         self.tell(api.BackendList(mode, tuple(backend(h) for h in seen)))
 
     def opine(self, name: str, takes_work: bool | None, share: float | None = None) -> bool:
-        """What a check, or the host itself, says of a host. True where it is news."""
-        host = self._cluster.opine(name, takes_work, share)
-        if host is not None:
-            self.tell(api.BackendList(api.ListMode.CHANGES, (backend(host),)))
-        return host is not None
+        """What a check says of a host. True where it is news."""
+        return self._changed(self._cluster.opine(name, takes_work, share))
+
+    def drains(self, name: str) -> bool:
+        """The host has said itself that it drains. True where it is news."""
+        return self._changed(self._cluster.drains(name))
 
     def close(self, name: str, closed: bool) -> None:
         """Nothing new to this host from now on, or again; what stands there stays."""
-        host = self._cluster.close(name, closed)
+        self._changed(self._cluster.close(name, closed))
+
+    def _changed(self, host: UpstreamHost | None) -> bool:
         if host is not None:
             self.tell(api.BackendList(api.ListMode.CHANGES, (backend(host),)))
+        return host is not None
 
     def tell(self, event: api.Event) -> None:
         later: list[api.Action] = []
--- a/bramblestile/process/front.py
+++ b/bramblestile/process/front.py
@@ -244,7 +244,7 @@
 
     def host_drains(self, name: str) -> None:
         """An upstream host's own word that it drains counts like discovery's."""
-        if self.decisions.opine(name, takes_work=False):
+        if self.decisions.drains(name):
             self.counters.add("told_draining_by_host")
 
     def checked(self, name: str, opinion: Opinion) -> None:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
+from bramblestile.memory.cluster import Cluster, UpstreamHost
 from bramblestile.process import config
 from bramblestile.process.daemon import Daemon
 from bramblestile.wire.agent import Opinion, parse_agent
 from tests.scenario import Peer, Stage
 from tests.test_process import SETTINGS
+from vanegw.interface import ListMode, State
 
 SAYS = "a0 accept\na0 send {}\na0 close\n"
 HTTP = "a0 accept\na0 expect GET /healthz HTTP/1.1\na0 send HTTP/1.1 {}\na0 close\n"
@@ -68,3 +72,18 @@
     assert (said("agent_check"), http("/live")) == ("down", "503 Service Unavailable")
     daemon.leaving = True
     assert (said("agent_check"), http("/live")) == ("drain", "503 Service Unavailable")
+
+
+@pytest.mark.parametrize(("say", "kept"), [
+    (lambda cluster: cluster.drains("a"), State.RUNNING), (lambda cluster: cluster.opine("a", False), State.DRAINING),
+    (lambda cluster: cluster.close("a", True), State.CLOSED)])
+def test_a_host_in_service_again_keeps_what_others_said_of_it(say: Callable[[Cluster], object], kept: State) -> None:
+    # A check says once that a host is down, and a certificate is refused once: were these dropped with the host's own
+    # word when discovery lists it again, the down or the unproven host would get new work.
+    host = UpstreamHost("a", ("127.0.0.1", 1))
+    cluster = Cluster()
+    cluster.apply(ListMode.COMPLETE, [host])
+    assert say(cluster) is not None
+    cluster.apply(ListMode.CHANGES, [replace(host, state=State.DRAINING)])
+    (seen,) = cluster.apply(ListMode.CHANGES, [host])
+    assert seen.state is kept
