The sample stops drawing when it is full; the log action that nobody gives is gone

Found on reading the change: to save a line the sample drew sixteen times for each request though it was full after four. The module has given no Log since its one line went; the action, its wire form and its branch went too.

--- a/bramblestile/memory/decisions.py
+++ b/bramblestile/memory/decisions.py
@@ -180,8 +180,6 @@
         elif isinstance(action, api.Subscribe):
             self._counters.add("list_asked")
             self.on_subscribe()
-        elif isinstance(action, api.Log):
-            self._log.warning("module", text=action.text)
         # A Cancel needs nothing: the request's own thread has seen the downstream leave and ends the attempt.
 
     def _run_timers(self) -> None:
--- a/vanegw/interface.py
+++ b/vanegw/interface.py
@@ -346,11 +346,4 @@
     token: str
 
 
-@dataclass(slots=True, frozen=True)
-class Log:
-    """A line for the operator."""
-
-    text: str
-
-
-Action = Attempt | Cancel | Refuse | Fail | Move | Probe | Subscribe | SetTimer | Log
+Action = Attempt | Cancel | Refuse | Fail | Move | Probe | Subscribe | SetTimer
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -172,8 +172,7 @@
             self._timer(int(LOOK_EVERY_US * (0.5 + self.random.random())), LOOK)
 
     def _beyond_share(self, tenant: str | None) -> bool:
-        """Under pressure a tenant that holds more than its share waits: what is beyond it is worth little.
-        A share of less than one connection a relay is kept by chance."""
+        """Under pressure a tenant beyond its share, worth little, waits; part of one is kept by chance."""
         quota = self.quotas.get(tenant or "", math.inf) / self.settings.balancers
         return self.average > PRESSURE and self.held[tenant] + self.random.random() > quota * SHARE_SLACK
 
@@ -251,8 +250,8 @@
         return len(self.arrivals) * (self.settings.balancers - 1) / self._fills(None)
 
     def _size(self, known: Known) -> float:
-        told = self.settings.list_weights and 0 < known.info.weight <= ABSURD
-        return known.info.weight if told else 1.0
+        size = known.info.weight if self.settings.list_weights else 1.0
+        return size if 0 < size <= ABSURD else 1.0
 
     def _nearness(self, known: Known) -> float:
         """Crossing zones is priced, not forbidden: another zone's weight falls with the price."""
@@ -278,9 +277,8 @@
         return (sum(self.quotas.values()) or held or 1.0) * part
 
     def _may_warm(self) -> bool:
-        """Rule 4 bounds what ALL relays send to a cold backend, and each sees its own sends alone: it keeps
-        to its part of what all cold ones have room for. Where that is less than one, chance decides, drawn
-        once in fall_us: a new chance at each request would add up."""
+        """Rule 4 bounds what ALL relays send to a cold backend: each keeps to its part of the room there is.
+        Part of a send is kept by chance, drawn once in fall_us: drawn at each request it would add up."""
         if self.now - self.chance_at >= self.settings.fall_us:
             self.chance, self.chance_at = self.random.random(), self.now
         self.warmed = [at for at in self.warmed if self.now - at < self.settings.fall_us]
@@ -332,8 +330,10 @@
     def _anywhere(self, flight: Flight) -> list[str]:
         chosen: list[str] = []
         for _ in range(SAMPLE * 4 if self.table else 0):
+            if len(chosen) == SAMPLE:
+                break
             name = self.table[self._pick(self.sums)]
-            if len(chosen) < SAMPLE and name not in chosen + flight.sample and self._is_well(name, flight):
+            if name not in chosen + flight.sample and self._is_well(name, flight):
                 chosen.append(name)
         # The luckless case: a sample of whatever is fit, in the end even tried or suspect.
         left = [] if chosen else [n for n in self.table if self._may_take(n, flight)]
--- a/vanegw/wire.py
+++ b/vanegw/wire.py
@@ -366,7 +366,6 @@
     api.Probe: lambda i, a: ["PING", i, a.backend],
     api.Subscribe: lambda i, a: ["SUBSCRIBE", i, True],
     api.SetTimer: lambda i, a: ["SET_TIMER", i, a.after_us, a.token],
-    api.Log: lambda i, a: ["REMARK", i, a.text],
 }
 
 
