Membership of the fleet: who lives, decided without I/O and played in simulated time

Need: no balancer knows how many others live, and the order of work stands on that.

A fleet table switches it on; without it nothing is loaded.

--- /dev/null
+++ b/bramblestile/fleet/telling.py
@@ -0,0 +1,38 @@
+"""When a member's own figures are worth telling all the others. No I/O.
+
+Every telling reaches every member, so that what a member hears would grow with the fleet if each told at a fixed pace.
+Here the pace falls with the fleet's size: all members together tell ``ALL_PER_S`` times a second at most.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from bramblestile.clock import NOTHING
+
+ALL_PER_S = 10.0
+SOONEST = timedelta(seconds=1)
+CHANGED = 1.25  # times more or less than was last told
+RENEWALS = 3  # within an entry's validity: two may go astray
+
+
+@dataclass(slots=True)
+class Telling:
+    """Of one figure."""
+
+    told: float | None = None
+    at: timedelta = NOTHING
+    due: timedelta = NOTHING
+
+    def wants(self, value: float, members: int, at: timedelta) -> timedelta | None:
+        """For how long the entry is to hold, where this is the moment to tell it."""
+        pace = max(SOONEST, timedelta(seconds=members / ALL_PER_S))
+        if self.told is not None:
+            low, high = sorted((self.told, value))
+            changed = high > low * CHANGED and high - low >= 1
+            if at - self.at < pace or not (changed or at >= self.due):
+                return None
+        holds = 4 * RENEWALS * pace
+        self.told, self.at, self.due = value, at, at + holds / RENEWALS
+        return holds
--- a/bramblestile/operations/calls.py
+++ b/bramblestile/operations/calls.py
@@ -36,6 +36,9 @@
     def is_quiet(self, host: str) -> bool:
         """No request is being sent there."""
 
+    def fleet(self) -> str | None:
+        """The members of the fleet, as JSON; None where this balancer is in none."""
+
 
 class Operators:
     """Each call is logged with who called and what came of it, and counted."""
@@ -54,6 +57,11 @@
                     return Answer(405, "GET it", allow="GET, HEAD")
                 why = self._operated.why_not_ready()
                 return YES if why is None else Answer(503, why)
+            case ("fleet",):
+                if call.method not in ("GET", "HEAD"):
+                    return Answer(405, "GET it", allow="GET, HEAD")
+                told = self._operated.fleet()
+                return Answer(404, "this balancer is in no fleet") if told is None else Answer(200, told)
             case ("balancer", "drain" | "activate" as what):
                 return self._put(call) or self._drain(what == "drain")
             case ("image-servers", host, "suspend" | "resume" as what):
--- a/bramblestile/process/config.py
+++ b/bramblestile/process/config.py
@@ -27,6 +27,9 @@
 CHECK_EVERY = timedelta(seconds=2)
 # Downstreams that are no request yet get an eighth of the descriptors (requests and the hosts' ends of them
 # take two thirds) and no more than one for each MB: a thread costs some 30 KB of it.
+MOST_SEEDS = 16
+LONGEST_MEMBER = 64  # bytes of a member's name and hall, as fleet/messages.py bounds them
+KEY_BYTES = 16, 64  # as BLAKE2 takes them, and none that could be guessed
 LOBBY_LEAST, LOBBY_MOST, LOBBY_SHARE = 16, 256, 8
 
 
@@ -119,6 +122,21 @@
     form: str = "auto"
 
 
+@dataclass(slots=True, frozen=True)
+class FleetConfig:
+    """This member of the fleet; fleet/ carries it out. ``keys``: the first one seals; none on loopback only."""
+
+    name: str
+    listen: Address
+    advertised: Address
+    seeds: tuple[Address, ...]
+    keys: tuple[bytes, ...]
+    hall: str
+    probe: timedelta
+    least: timedelta
+    most: timedelta
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     lines: FrontConfig | None  # the platform's front; None: off
@@ -130,6 +148,7 @@
     log: LogConfig = field(default_factory=LogConfig)
     management: Address | None = None  # where operators call; None: nowhere
     inherited: int | None = None  # the descriptor of the clients' listening socket; None: one of our own
+    fleet: FleetConfig | None = None  # None: off
     kept_in: Path | None = None  # the folder for what outlasts the process; None: nothing does
     told: Mapping[str, Any] = field(default_factory=dict, compare=False)  # the file's own words
 
@@ -307,6 +326,50 @@
     return StoreConfig(name, peers, directory)
 
 
+def _fleet(at: Section, name: str, hall: str) -> FleetConfig:
+    listen = at.address("listen")
+    advertised = at.address("advertise") if at.has("advertise") else listen
+    seeds = at.values.get("seeds", [])
+    if not isinstance(seeds, list) or len(seeds) > MOST_SEEDS:
+        raise ConfigError(f"{at.key('seeds')}: not a list of {MOST_SEEDS} addresses at most")
+    found = []
+    for number, seed in enumerate(seeds):
+        try:
+            found.append(discovery.address(seed))
+        except (ValueError, TypeError, AttributeError) as error:
+            raise ConfigError(f"{at.key('seeds')}[{number}]: {error}") from None
+    keys = _keys(at)
+    if not keys:
+        for key, (host, _) in [("listen", listen), ("advertise", advertised), *(("seeds", s) for s in found)]:
+            if not host.startswith("127."):  # whoever reaches the address could pass for a member
+                raise ConfigError(f"{at.key(key)}: {host!r} is no loopback address, and there is no key_file")
+    own = at.text("name", name)
+    for key, text in (("name", own), ("hall", at.text("hall", hall or "-"))):
+        if len(text.encode()) > LONGEST_MEMBER:
+            raise ConfigError(f"{at.key(key)}: longer than {LONGEST_MEMBER} bytes")
+    probe, least, most = (timedelta(milliseconds=at.integer(key, default, low)) for key, default, low in (
+        ("probe_ms", 200, 50), ("suspect_ms", 700, 100), ("suspect_most_ms", 4000, 100)))
+    if most < least:
+        raise ConfigError(f"{at.key('suspect_most_ms')}: less than suspect_ms")
+    return FleetConfig(own, listen, advertised, tuple(found), keys, at.text("hall", hall or "-"), probe, least, most)
+
+
+def _keys(at: Section) -> tuple[bytes, ...]:
+    """A key to a line, in hexadecimal; the first one seals."""
+    if not at.has("key_file"):
+        return ()
+    path = Path(at.text("key_file"))
+    try:
+        lines = path.read_text().split()
+        keys = tuple(bytes.fromhex(line) for line in lines)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{at.key('key_file')}: {path.name}: {error}") from None
+    low, high = KEY_BYTES
+    if not 1 <= len(keys) <= 2 or not all(low <= len(key) <= high for key in keys):
+        raise ConfigError(f"{at.key('key_file')}: {path.name}: not one or two keys of {low} to {high} bytes")
+    return keys
+
+
 def _trace(at: Section, name: str, hall: str, classes: set[str]) -> TraceConfig:
     """The folder need not be there yet, nor writable: a trace that cannot be written holds up no start."""
     keep = at.section("keep")
@@ -363,7 +426,10 @@
                   _store(top.section("store")) if top.has("store") else None, _seed(top), trace,
                   LogConfig(said.one_of("level", log.LEVELS, "info"), said.one_of("form", log.FORMS, "auto")),
                   top.address("management") if top.has("management") else None,
-                  _inherited(environment or {}) if lines else None, _kept_in(environment or {}), dict(values))
+                  _inherited(environment or {}) if lines else None,
+                  _fleet(top.section("fleet"), top.text("name", "bramblestile"), settings[0].zone)
+                  if top.has("fleet") else None,
+                  _kept_in(environment or {}), dict(values))
 
 
 # What the platform's file always holds. Other keys an operator may leave out of a later file on purpose.
--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import signal
 import socket
@@ -9,12 +10,13 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 from queue import Empty, SimpleQueue
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from bramblestile import log, sockets
+from bramblestile import __version__, log, sockets
 from bramblestile.clock import NOTHING, now
 from bramblestile.life import adopt
 from bramblestile.log import Log
@@ -27,7 +29,7 @@
 from bramblestile.operations.passport import unpacked
 from bramblestile.operations.server import Server
 from bramblestile.operations.succession import Succession
-from bramblestile.process.config import Config, ConfigError, StoreConfig, TraceConfig, load, missing
+from bramblestile.process.config import Config, ConfigError, FleetConfig, StoreConfig, TraceConfig, load, missing
 from bramblestile.process.front import Front, LineFront, NatsFront
 from bramblestile.process.listeners import Listener, take_over
 from bramblestile.tracing import Tracer, Tracing
@@ -35,6 +37,7 @@
 from bramblestile.wire.peers import Peers
 
 if TYPE_CHECKING:
+    from bramblestile.fleet.gossip import Gossip
     from bramblestile.trace.recorder import Recorder
 
 STACK = 192 * 1024  # bytes; two threads for each standing connection must fit the memory limit
@@ -71,6 +74,21 @@
         Limits(plan.file_bytes, plan.file_age, plan.total_bytes), plan.keep), counters)
 
 
+def make_gossip(plan: FleetConfig, counters: Counters, patient: bool) -> Gossip:
+    """Its library is loaded here and nowhere else on the way of ``run``: on the platform balancers never talk."""
+    try:
+        from bramblestile.fleet import gossip, members, messages
+    except ImportError as error:
+        raise ConfigError(f"fleet: needs the extra 'fleet' of this package ({error.name} is not installed)") from None
+    pace = members.Pace(period=plan.probe, answer=plan.probe * 0.4, least=plan.least, most=plan.most)
+    host, port = plan.advertised
+    try:
+        return gossip.Gossip(plan.listen, messages.Fact(plan.name, host, port, 0, hall=plan.hall, version=__version__),
+                             plan.seeds, plan.keys, counters, pace, patient)
+    except OSError as error:
+        raise ConfigError(f"fleet.listen: {error.strerror or error}") from None
+
+
 class Daemon:
     """The whole program: its fronts, each with a cluster of its own, and one set of counters."""
 
@@ -94,6 +112,7 @@
         self.ready = threading.Event()
         self._recalling = threading.Lock()
         self._recalled: list[dict[str, Any]] | None = []  # what the process before knew, until it can be taken
+        self._asked = 0, now()  # requests that had come when the fleet was last told
         self.kept = Kept(config.kept_in if config.management is not None else None,
                          "nats" if config.lines is None else config.lines.name)
         self._ordering = threading.Lock()  # one order at a time
@@ -104,6 +123,10 @@
         self._planned = threading.Event()
         self.management: Server | None = None
         self.succession: Succession | None = None
+        self.gossip = None if config.fleet is None else make_gossip(
+            config.fleet, self.counters, patient=config.inherited is not None)
+        if self.gossip is not None:
+            self.gossip.figures = self._figures
         if self.lines is not None and config.inherited is not None:
             try:
                 self.lines.inherited = take_over(config.inherited)
@@ -133,6 +156,8 @@
             self.succession.start()
         for front in self.fronts:
             front.start()
+        if self.gossip is not None:
+            self.gossip.start()
         threading.Thread(target=self._become_ready, name="ready", daemon=True).start()
         if self.config.store is not None and self.store is not None and self.peers is not None:
             self._start_store(self.config.store, self.store, self.peers)
@@ -253,11 +278,22 @@
         for name in ("health", "store"):
             if getattr(config, name) != getattr(self.config, name):
                 self.log.warning("reload", key=name, text="a change needs a restart")
+        self._rekey(config.fleet)
         log.set_up(config.log.level, config.log.form)
         old, self.config = self.config, config
         if config.trace != old.trace:
             self._trace(config.trace)
 
+    def _rekey(self, plan: FleetConfig | None) -> None:
+        """A member's keys change in service; all else of it needs a restart."""
+        old = self.config.fleet
+        if plan is not None and old is not None:
+            if self.gossip is not None:
+                self.gossip.rekey(plan.keys)
+            old = replace(old, keys=plan.keys)
+        if plan != old:
+            self.log.warning("reload", key="fleet", text="a change needs a restart")
+
     def _trace(self, plan: TraceConfig | None) -> None:
         """Records by this plan from now on; None: not at all."""
         if self.recorder is not None:
@@ -305,6 +341,16 @@
             self.peers.stop()
             self.store.stop()
 
+    def _figures(self) -> dict[str, float]:
+        """What the other members are told of this one: requests a second since it was last asked."""
+        asked, at = sum(self.counters.get(f"{front.name}_accepted") for front in self.fronts), now()
+        (before, since), self._asked = self._asked, (asked, at)
+        return {"traffic": (asked - before) / max((at - since).total_seconds(), 0.001)}
+
+    def fleet(self) -> str | None:
+        """The fleet as this member sees it, as JSON; None where there is none."""
+        return None if self.gossip is None else json.dumps(self.gossip.shown())
+
     def is_well(self) -> agent.Health:
         """What other balancers are told of this one."""
         share = max((front.share_of_hosts() for front in self.fronts), default=0.0)
@@ -315,6 +361,8 @@
         returns in time."""
         began = now()
         self.stop_store()
+        if self.gossip is not None:
+            self.gossip.stop()
         self.leaving = True  # said at once; what still comes is taken
         succeeded = self.succession is not None and self.succession.wait_for_ready(READY_WITHIN)
         listeners = [front.listener for front in self.fronts if front.listener is not None]
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -74,6 +74,9 @@
     def is_quiet(self, host: str) -> bool:
         return self.quiet
 
+    def fleet(self) -> str | None:
+        return None
+
 
 @pytest.fixture
 def served() -> Iterator[tuple[Server, Balancer, Counters]]:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -26,6 +26,7 @@
     "nats": {"listen": "127.0.0.1:0"},
     "trace": {"directory": "traces"},
     "store": {"name": "p1", "directory": ".", "peers": {"p1": "127.0.0.1:4"}},
+    "fleet": {"listen": "127.0.0.1:5", "seeds": ["127.0.0.2:5"]},
 }
 
 
@@ -64,11 +65,14 @@
     ("trace.directory", 5), ("trace.flush_ms", 1), ("trace.buffer", "x"), ("trace.total_mb", 100),
     ("trace.keep.feed", 2), ("trace.keep.nobody", 0.5), ("log.level", "loud"), ("log.form", "xml"),
     ("store.directory", "nowhere"), ("store.name", "stranger"), ("store.peers.p9", "10.0.0.1:1"),
+    ("fleet.listen", "10.0.0.1:5"), ("fleet.seeds", "127.0.0.1:5"), ("fleet.seeds[0]", ["nowhere"]),
+    ("fleet.seeds", ["10.0.0.1:5"]), ("fleet.key_file", "no such file"), ("fleet.name", "n" * 65),
+    ("fleet.probe_ms", 1), ("fleet.suspect_most_ms", 200), ("fleet.advertise", "somewhere"),
 ])
 def test_a_message_names_the_faulty_key(path: str, value: object) -> None:
     values = copy.deepcopy(GOOD)
     at: Any = values
-    *parents, last = path.split(".")
+    *parents, last = path.partition("[")[0].split(".")
     for name in parents:
         at = at.setdefault(name, {})
     at[last] = value
