An address that is taken is named by its key in one line

Cause: the listeners of the fronts, the health protocols and the store ended the program in a traceback where another process had their address. Change: one guard around each names the key and the address, the management address and the fleet's among them. Measured: six addresses taken on purpose, exit 2 and one line each.

--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -30,7 +30,7 @@
 from bramblestile.operations.server import Server
 from bramblestile.operations.succession import Succession
 from bramblestile.process.config import Config, ConfigError, FleetConfig, StoreConfig, TraceConfig, load, missing
-from bramblestile.process.front import Front, LineFront, NatsFront
+from bramblestile.process.front import Front, LineFront, NatsFront, naming
 from bramblestile.process.listeners import Listener, take_over
 from bramblestile.tracing import Tracer, Tracing
 from bramblestile.wire import agent, peers
@@ -82,11 +82,9 @@
         raise ConfigError(f"fleet: needs the extra 'fleet' of this package ({error.name} is not installed)") from None
     pace = members.Pace(period=plan.probe, answer=plan.probe * 0.4, least=plan.least, most=plan.most)
     host, port = plan.advertised
-    try:
+    with naming("fleet.listen", plan.listen):
         return gossip.Gossip(plan.listen, messages.Fact(plan.name, host, port, 0, hall=plan.hall, version=__version__),
                              plan.seeds, plan.keys, counters, pace, patient)
-    except OSError as error:
-        raise ConfigError(f"fleet.listen: {error.strerror or error}") from None
 
 
 class Daemon:
@@ -143,11 +141,9 @@
         if self.config.management is not None:
             # Before the fronts take descriptors. Another process of this balancer may have the address a while longer.
             operators = Operators(self, self.counters)
-            try:
+            with naming("management", self.config.management):
                 self.management = Server(self.config.management, operators, self.counters,
                                          patient=self.config.inherited is not None)
-            except OSError as error:
-                raise ConfigError(f"management: {error}") from None
             self.management.start()
             for run in (self._run_orders, self._run_plans):
                 threading.Thread(target=run, name=run.__name__, daemon=True).start()
@@ -161,12 +157,13 @@
         threading.Thread(target=self._become_ready, name="ready", daemon=True).start()
         if self.config.store is not None and self.store is not None and self.peers is not None:
             self._start_store(self.config.store, self.store, self.peers)
-        asked = ((self.health.agent, "agent_check", lambda sock: agent.answer_agent(sock, self.is_well)),
-                 (self.health.http, "health", lambda sock: agent.answer_http(sock, self.is_well,
-                                                                           self.health.path)))
-        for address, name, answer in asked:
+        asked = (("agent", self.health.agent, "agent_check", lambda sock: agent.answer_agent(sock, self.is_well)),
+                 ("http", self.health.http, "health", lambda sock: agent.answer_http(sock, self.is_well,
+                                                                                   self.health.path)))
+        for key, address, name, answer in asked:
             if address is not None:
-                self.told_at[name] = Listener(address, answer, self.counters, name)
+                with naming(f"health.{key}", address):
+                    self.told_at[name] = Listener(address, answer, self.counters, name)
                 self.told_at[name].start()
 
     def _become_ready(self) -> None:
@@ -322,7 +319,8 @@
         def serve(sock: socket.socket) -> None:
             peers.serve(sock, store, made.peers, self.counters)
 
-        listener = Listener(made.peers[made.name], serve, self.counters, "store")
+        with naming(f"store.peers.{made.name}", made.peers[made.name]):
+            listener = Listener(made.peers[made.name], serve, self.counters, "store")
         self.told_at["store"] = listener
         listener.start()
         ways.start()
--- a/bramblestile/process/front.py
+++ b/bramblestile/process/front.py
@@ -4,7 +4,8 @@
 
 import socket
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from dataclasses import replace
 from datetime import timedelta
 from typing import TYPE_CHECKING
@@ -61,10 +62,20 @@
         raise ConfigError(f"{config.path}.{error}") from None
 
 
+@contextmanager
+def naming(key: str, address: Address) -> Iterator[None]:
+    """An address that cannot be had is the configuration's fault, and is named by its key."""
+    try:
+        yield
+    except OSError as error:
+        raise ConfigError(f"{key}: {address[0]}:{address[1]}: {error.strerror or error}") from None
+
+
 class Front:
     """What every front has, whatever it speaks. Nothing in it listens before ``start``."""
 
     name = ""
+    key = ""  # of its address, in the configuration
 
     def __init__(self, config: FrontConfig, counters: Counters, tracing: Tracing | None = None) -> None:
         self.config = config
@@ -148,7 +159,9 @@
         self.connections.start()
         self.decisions.list(api.ListMode.RESTORED, self.config.known)
         self.checks.start()
-        self.listener = Listener(self.config.listen, self.serve, self.counters, self.name, self.lobby, self.inherited)
+        with naming(self.key, self.config.listen):
+            self.listener = Listener(self.config.listen, self.serve, self.counters, self.name, self.lobby,
+                                     self.inherited)
         if self.inherited is None:
             self.listener.start()
 
@@ -273,6 +286,7 @@
     """The platform's line protocol."""
 
     name = "lines"
+    key = "listen"
 
     def prober(self) -> tuple[Ask, Callable[[], None]]:
         prober = lines.Prober(self._dial)
@@ -330,6 +344,7 @@
     """The NATS client protocol."""
 
     name = "nats"
+    key = "nats.listen"
     before_tls = staticmethod(nats.read_info)
 
     def host_drains(self, name: str) -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -120,6 +120,31 @@
                 program.kill()
 
 
+@pytest.mark.parametrize("key", ["listen", "nats.listen", "health.agent", "store.peers.p1", "management",
+                                 "fleet.listen"])
+def test_an_address_that_is_taken_is_named_by_its_key(key: str, tmp_path: Path) -> None:
+    """Seen: a traceback."""
+    kind = socket.SOCK_DGRAM if key == "fleet.listen" else socket.SOCK_STREAM
+    with socket.socket(socket.AF_INET, kind) as taken:
+        taken.bind(("127.0.0.1", 0))
+        if kind is socket.SOCK_STREAM:
+            taken.listen()
+        values = {key: value for key, value in GOOD.items() if key not in ("trace", "discovery", "store", "fleet")}
+        values["store"] = {"name": "p1", "directory": str(tmp_path), "peers": {"p1": "127.0.0.1:0"}}
+        at: Any = values
+        *parents, last = key.split(".")
+        for name in parents:
+            at = at.setdefault(name, {})
+        at[last] = "{}:{}".format(*taken.getsockname())
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(values))
+        got = subprocess.run([sys.executable, "-m", "bramblestile"], capture_output=True, text=True, timeout=20,
+                             env=os.environ | {"EDGE_CONFIG": str(path)}, check=False)
+    assert got.returncode == 2
+    assert got.stderr.splitlines()[-1] == f"bramblestile: {key}: {at[last]}: Address already in use"
+    assert "Traceback" not in got.stderr
+
+
 def connect(address: tuple[str, int], program: subprocess.Popen[str]) -> Peer:
     while True:
         try:
