--- a/bramblestile/cli/ops.py
+++ b/bramblestile/cli/ops.py
@@ -13,19 +13,25 @@
 WITHIN = 2.0  # seconds: an answer is owed within 1
 
 
+def _address(ctx: click.Context, _: click.Parameter, value: str) -> None:
+    try:
+        ctx.obj = discovery.address(value)
+    except ValueError as error:
+        raise Refused(f"--at: {error}") from None
+
+
+# The commands of a group with it find the address in ``ctx.obj``.
+at_option = click.option("--at", envvar="EDGE_MANAGEMENT", required=True, metavar="HOST:PORT", expose_value=False,
+                         callback=_address, help="The balancer's management address; $EDGE_MANAGEMENT.")
+
+
 @click.group("ops")
-@click.option("--at", "address", envvar="EDGE_MANAGEMENT", required=True, metavar="HOST:PORT",
-              help="The balancer's management address; $EDGE_MANAGEMENT.")
-@click.pass_context
-def group(ctx: click.Context, address: str) -> None:
+@at_option
+def group() -> None:
     """Ask a balancer whether it is ready, take image servers out, send clients away.
 
     Exit 0: it said yes; 1: no, or nothing, with its reason; 2: wrong usage. Each balancer has to be told by itself.
     """
-    try:
-        ctx.obj = discovery.address(address)
-    except ValueError as error:
-        raise Refused(f"--at: {error}") from None
 
 
 def _call(ctx: click.Context, method: str, path: str) -> None:
