--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -22,7 +22,6 @@
 from bramblestile.log import Log
 from bramblestile.memory.connections import Standing
 from bramblestile.memory.counters import Counters
-from bramblestile.memory.store import Journal, Replica, Store
 from bramblestile.operations.calls import Operators
 from bramblestile.operations.evacuation import Evacuation
 from bramblestile.operations.kept import Kept, Orders
@@ -32,6 +31,9 @@
 from bramblestile.process.config import Config, ConfigError, FleetConfig, StoreConfig, TraceConfig, load, missing
 from bramblestile.process.front import Front, LineFront, NatsFront, naming
 from bramblestile.process.listeners import Listener, take_over
+from bramblestile.store.journal import Journal, JournalError
+from bramblestile.store.replica import Replica
+from bramblestile.store.service import Store
 from bramblestile.tracing import Tracer, Tracing
 from bramblestile.wire import agent, peers
 from bramblestile.wire.peers import Peers
@@ -311,7 +313,10 @@
 
     def _make_store(self, made: StoreConfig, seed: int) -> None:
         self.peers = Peers(made.peers, made.name, self.counters)
-        journal = Journal(made.directory / f"{made.name}.journal")
+        try:
+            journal = Journal(made.directory / f"{made.name}.journal")
+        except (JournalError, OSError) as error:
+            raise ConfigError(f"store.directory: {error}") from None
         replica = Replica(made.name, list(made.peers), journal, Random(f"{seed} {made.name}"), now())
         self.store = Store(replica, self.peers.send, self.stored)
 
--- a/bramblestile/wire/peers.py
+++ b/bramblestile/wire/peers.py
@@ -13,8 +13,9 @@
 from bramblestile import sockets
 from bramblestile.clock import NOTHING, now
 from bramblestile.memory.counters import Counters
-from bramblestile.memory.store import Message, Store
 from bramblestile.sockets import Address, LineReader
+from bramblestile.store.replica import Message
+from bramblestile.store.service import Store
 
 LONGEST = 1 << 18  # bytes of one line: a full message of the longest entries fits
 DIAL = timedelta(milliseconds=200)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -12,9 +12,10 @@
 import pytest
 
 from bramblestile import cli
-from bramblestile.memory.store import Journal, Message, Replica
 from bramblestile.process import config
 from bramblestile.process.daemon import Daemon
+from bramblestile.store.journal import Journal, JournalError
+from bramblestile.store.replica import ELECTION, ROOM, Message, Replica
 from bramblestile.wire import peers
 from tests.test_process import SETTINGS
 
@@ -25,17 +26,18 @@
 class Net:
     """Peers on a clock that the test turns. A message goes through where both ends are in one part."""
 
-    def __init__(self, path: Path, seed: int, size: int = 3) -> None:
-        self.path, self.random, self.at = path, Random(seed), timedelta(0)
+    def __init__(self, path: Path, seed: int, size: int = 3, room: int = ROOM) -> None:
+        self.path, self.random, self.at, self.room = path, Random(seed), timedelta(0), room
         self.names = NAMES[:size]
         self.part = dict.fromkeys(self.names, 0)
         self.peers = {name: self.made(name) for name in self.names}
         self.mail: list[tuple[str, str, Message]] = []
         self.led: dict[int, str] = {}
-        self.committed: list[tuple[int, str, str]] = []
+        self.committed: dict[int, tuple[int, str, str]] = {}
 
     def made(self, name: str) -> Replica:
-        return Replica(name, self.names, Journal(self.path / name), Random(self.random.random()), self.at)
+        return Replica(name, self.names, Journal(self.path / name), Random(self.random.random()), self.at,
+                       self.room)
 
     def restart(self, name: str) -> None:
         self.peers[name].journal.close()
@@ -59,10 +61,10 @@
         for name, peer in self.peers.items():
             if peer.role == "leader":
                 assert self.led.setdefault(peer.term, name) == name
-            done = [(e[0], e[1], e[2]) for e in peer.journal.entries[:peer.commit]]
-            longer, shorter = sorted((done, self.committed), key=len, reverse=True)
-            assert longer[:len(shorter)] == shorter
-            self.committed = longer
+            base = peer.journal.base
+            for place, entry in enumerate(peer.journal.entries[:peer.commit - base], base + 1):
+                assert self.committed.setdefault(place, entry) == entry
+        assert sum(peer.leads(self.at) for peer in self.peers.values()) <= 1
 
     def leader(self, part: int = 0) -> Replica:
         leaders = [p for n, p in self.peers.items() if p.role == "leader" and self.part[n] == part]
@@ -142,6 +144,77 @@
     assert len({tuple(net.held(name)) for name in net.names}) == 1 and net.held("p0")[-1] == "last"
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_folded_logs_and_chunks_bring_everybody_up_to_date(
+        tmp_path: Path, seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("bramblestile.store.replica.FOLD_AT", 6)
+    net = Net(tmp_path, seed, size=5, room=40)
+    for turn in range(30):
+        net.part = {name: int(name == NAMES[turn // 6 % 5]) for name in net.names}  # one is away for long
+        if turn % 4 == 0:
+            net.restart(net.random.choice(net.names))
+        net.run(60, lose=0.1)
+        for peer in [p for p in net.peers.values() if p.role == "leader"]:
+            peer.propose(f"k{turn % 7}", f"{turn} {peer.name}" if turn % 5 else "", net.at)
+    net.part = dict.fromkeys(net.names, 0)
+    net.run(600)
+    assert len({tuple(sorted(peer.values.items())) for peer in net.peers.values()}) == 1
+    assert all(peer.journal.base > 0 for peer in net.peers.values())
+    news: dict[str, str] = {}
+    for key, value in net.peers["p2"].news:
+        news[key] = value
+    assert {k: v for k, v in news.items() if v} == net.peers["p2"].values
+
+
+def test_one_that_was_cut_off_does_not_end_a_leader_that_serves(net: Net) -> None:
+    """Pre-vote: it stood over and over, and its term rose."""
+    leader = net.leader()
+    away = next(name for name in net.names if name != leader.name)
+    net.part[away] = 1
+    net.run(400)
+    net.part[away] = 0
+    net.run(100)
+    assert net.leader() is leader and leader.leads(net.at) and net.peers[away].term == leader.term
+
+
+def test_a_leader_that_no_majority_hears_knows_it(net: Net) -> None:
+    leader = net.leader()
+    net.run(5)
+    assert leader.leads_and_knows(net.at)
+    net.part[leader.name] = 1
+    net.run(ELECTION // STEP)
+    assert not leader.leads(net.at)
+    net.run(3 * ELECTION // STEP)
+    assert leader.role != "leader"
+
+
+def test_a_disk_that_fails_ends_the_vote_and_no_promise_is_told(net: Net, monkeypatch: pytest.MonkeyPatch) -> None:
+    leader = net.leader()
+
+    def full(_: int) -> None:
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr("os.fsync", full)
+    assert leader.propose("k", "lost", net.at) == (0, [])
+    monkeypatch.undo()
+    assert leader.journal.failed and leader.role == "follower"
+    net.run(300)
+    assert net.leader() is not leader and leader.tick(net.at) == []
+
+
+def test_a_journal_is_one_process_s_and_no_stranger_s(tmp_path: Path) -> None:
+    journal = Journal(tmp_path / "j")
+    with pytest.raises(JournalError, match="another process"):
+        Journal(tmp_path / "j")
+    journal.promise(1, "p1")
+    journal.promise(2, "p1")
+    journal.close()
+    raw = (tmp_path / "j").read_bytes()
+    (tmp_path / "j").write_bytes(b"what is this\n" + raw)
+    with pytest.raises(JournalError, match="line 1"):
+        Journal(tmp_path / "j")
+
+
 def test_a_write_cut_off_half_way_is_forgotten(tmp_path: Path) -> None:
     journal = Journal(tmp_path / "j")
     journal.promise(3, "p1")
