--- a/bramblestile/cli/main.py
+++ b/bramblestile/cli/main.py
@@ -19,6 +19,7 @@
 GROUPS = {"store": "Read and write the replicated store.", "trace": "Read, cut, merge and sum up trace files.",
           "fleet": "Show which balancers live, as one of them sees it.",
           "ops": "Ask a balancer whether it is ready, take image servers out, send clients away.",
+          "work": "Take machines out for work, in an order that the balancers settle.",
           "tls": "Look at the image servers' certificates; make an authority for trying things out."}
 
 
--- a/bramblestile/fleet/gossip.py
+++ b/bramblestile/fleet/gossip.py
@@ -22,7 +22,7 @@
 
 from bramblestile.clock import MICROSECOND, NOTHING, milliseconds, now
 from bramblestile.fleet.members import Change, Members, Out, Pace
-from bramblestile.fleet.messages import LARGEST, Fact, MessageError, State, decoded, encoded
+from bramblestile.fleet.messages import LARGEST, Fact, Kind, Message, MessageError, State, decoded, encoded
 from bramblestile.fleet.sealing import OVERHEAD, Seal, SealError
 from bramblestile.fleet.telling import Telling
 from bramblestile.log import Log
@@ -52,11 +52,13 @@
         self._members = Members(me, seeds, Random(f"{seed} {life}"), now(), pace)
         self._seal = Seal(life, keys)
         self._lock = threading.Lock()  # the members; held over no socket
+        self._sending = threading.Lock()  # counts of the seal, and what is kept to be said again
         self._unheard: OrderedDict[Address, tuple[timedelta, bytes]] = OrderedDict()
         self._told: dict[str, Telling] = {}
         self._figures_at = now()
         self.figures: Figures | None = None
         self.on_changes: Callable[[list[Change]], None] | None = None
+        self.on_load: Callable[[str, bytes], None] | None = None  # the sender's name, and what it sent; must not wait
         self._wake_read, self._wake_write = os.pipe()
         os.set_blocking(self._wake_write, False)
         self._poll = select.poll()  # not select, which ends at 1,024 descriptors
@@ -108,6 +110,25 @@
         with self._lock:
             return self._members.board.all(key, now())
 
+    @property
+    def life(self) -> int:
+        return self._members.me.life
+
+    def states(self) -> dict[str, State]:
+        """All that are known, ourselves among them."""
+        with self._lock:
+            m = self._members
+            return {m.me.name: State(m.me.state)} | {name: known.state for name, known in m.known.items()}
+
+    def send(self, name: str, load: bytes) -> None:
+        """To one member, once: lost as any datagram may be, or where nobody of this name is known."""
+        with self._lock:
+            m = self._members
+            me = m.me
+            fact = me if name == me.name else m.known[name].fact if name in m.known else None
+        if fact is not None and m.holder is None:
+            self._send([((fact.host, fact.port), Message(Kind.LOAD, me, load=load))])
+
     def tell(self, key: str, value: bytes, for_: timedelta) -> None:
         with self._lock:
             self._members.tell(key, value, for_, now())
@@ -204,6 +225,8 @@
             self._log.seldom("fleet", peer=f"{source[0]}:{source[1]}", text=str(error))
             return
         self._counters.add("fleet_heard")
+        if message.kind == Kind.LOAD and message.me is not None and self.on_load is not None:
+            self.on_load(message.me.name, message.load)
         with self._lock:
             out = self._members.hear(message, source, now())
         self._send(out)
@@ -212,9 +235,11 @@
         """It has told its life: what it could not open comes again, sealed for that."""
         with self._lock:
             self._members.lives[to] = life
-        at, raw = self._unheard.pop(to, (NOTHING, b""))
+        with self._sending:
+            at, raw = self._unheard.pop(to, (NOTHING, b""))
+            sealed = self._seal.close(raw, life)
         if raw and now() - at <= UNHEARD_FOR:
-            self._write(self._seal.close(raw, life), to)
+            self._write(sealed, to)
 
     def _send(self, out: Sequence[Out]) -> None:
         for to, message in out:
@@ -222,11 +247,13 @@
             if len(raw) > LARGEST:
                 self._counters.add("fleet_too_large")  # a fault of ours, and the receiver would drop it too
                 continue
-            self._unheard.pop(to, None)
-            self._unheard[to] = now(), raw
-            if len(self._unheard) > UNHEARD:
-                self._unheard.popitem(last=False)
-            self._write(self._seal.close(raw, self._members.lives.get(to, 0)), to)
+            with self._sending:
+                self._unheard.pop(to, None)
+                self._unheard[to] = now(), raw
+                if len(self._unheard) > UNHEARD:
+                    self._unheard.popitem(last=False)
+                sealed = self._seal.close(raw, self._members.lives.get(to, 0))
+            self._write(sealed, to)
 
     def _write(self, datagram: bytes, to: Address) -> None:
         if self._sock is None:
--- a/bramblestile/fleet/messages.py
+++ b/bramblestile/fleet/messages.py
@@ -35,6 +35,7 @@
     DIGEST = "d"
     PAGE = "s"  # facts and entries that the other lacks; ``want``: buckets of which it is asked for its own
     GOSSIP = "g"
+    LOAD = "l"  # something of another part's, for this member alone
 
 
 class Fact(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=False):
@@ -77,6 +78,7 @@
     entries: tuple[Entry, ...] = ()
     digest: bytes = b""
     want: bytes = b""  # numbers of buckets
+    load: bytes = b""
 
 
 class MessageError(Exception):
--- a/bramblestile/lab/processes.py
+++ b/bramblestile/lab/processes.py
@@ -30,10 +30,12 @@
         self._command = command or [sys.executable, "-m", "bramblestile"]
         self.process: subprocess.Popen[bytes] | None = None
         self._starving: threading.Event | None = None
+        self.paused = False
         folder.mkdir(parents=True, exist_ok=True)
         (folder / "tmp").mkdir(exist_ok=True)
 
     def start(self) -> None:
+        self.paused = False
         path = self.folder / "config.json"
         path.write_text(json.dumps(self.config))
         environment = {**{k: v for k, v in os.environ.items() if not k.startswith("EDGE_")},
@@ -48,16 +50,22 @@
     def runs(self) -> bool:
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def serves(self) -> bool:
+        return self.runs and not self.paused
+
     def signal(self, number: int) -> None:
         if self.process is not None and self.process.poll() is None:
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(number)
 
     def pause(self) -> None:
+        self.paused = True
         self.signal(signal.SIGSTOP)
         self.record.add("paused", who=self.name)
 
     def wake(self) -> None:
+        self.paused = False
         self.signal(signal.SIGCONT)
         self.record.add("woken", who=self.name)
 
--- a/bramblestile/memory/cluster.py
+++ b/bramblestile/memory/cluster.py
@@ -4,7 +4,7 @@
 
 import threading
 from collections import Counter
-from collections.abc import Collection, Iterator, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 from datetime import timedelta
@@ -45,6 +45,8 @@
         self._closed: set[str] = set()  # take nothing new, and keep what they hold
         self._leaving: set[str] = set()  # have said themselves that they drain
         self._suspended: Collection[str] = ()  # taken out by operators, listed or not
+        self._lean: Mapping[str, float] = {}  # the part of its weight by which a host draws clients
+        self.may: Callable[[str], bool] | None = None  # asked at every send beside all else; None: nobody is
         self._back: Mapping[str, timedelta] = {}  # called back by operators, and from when they count as born
         self._sending: Counter[str] = Counter()  # requests that are being written to a host
 
@@ -114,13 +116,14 @@
         born, back = host.born, self._back.get(host.id)
         if back is not None and (born is None or born < back):
             born = back
-        return replace(host, state=state, weight=host.weight * share, born=born)
+        return replace(host, state=state, weight=host.weight * share * self._lean.get(host.id, 1.0), born=born)
 
-    def obey(self, suspended: Collection[str], back: Mapping[str, timedelta]) -> list[str]:
+    def obey(self, suspended: Collection[str], back: Mapping[str, timedelta],
+             lean: Mapping[str, float] | None = None) -> list[str]:
         """Operators' orders, all that hold. Returns the listed hosts that are seen in another way since."""
         with self._lock:
             before = {name: self._seen(host) for name, host in self._listed.items()}
-            self._suspended, self._back = suspended, back
+            self._suspended, self._back, self._lean = suspended, back, lean or {}
             return [name for name, host in self._listed.items() if self._seen(host) != before[name]]
 
     def born(self, name: str) -> timedelta | None:
@@ -161,6 +164,12 @@
         with self._lock:
             return [self._seen(host) for host in self._listed.values()]
 
+    def listed(self) -> list[UpstreamHost]:
+        """As discovery tells them, with the checks' opinions and operators' call backs, whatever is taken out or leaned
+        away from."""
+        with self._lock:
+            return [replace(host, born=self._seen(host).born) for host in self._listed.values()]
+
     def takes_work(self, host: UpstreamHost) -> bool:
         """Still the same start of the same host, and neither draining nor gone."""
         with self._lock:
@@ -169,4 +178,5 @@
     def _takes_work(self, host: UpstreamHost) -> bool:
         held = self._listed.get(host.id)
         seen = None if held is None else self._seen(held)
-        return seen is not None and seen.state is State.RUNNING and seen.born == host.born
+        return (seen is not None and seen.state is State.RUNNING and seen.born == host.born
+                and (self.may is None or self.may(host.id)))
--- a/bramblestile/memory/decisions.py
+++ b/bramblestile/memory/decisions.py
@@ -135,6 +135,12 @@
         """Nothing new to this host from now on, or again; what stands there stays."""
         self._changed(self._cluster.close(name, closed))
 
+    def figures(self) -> dict[str, tuple[float | None, bool]]:
+        """For each host its load as last reported, and whether it is masked for its failures."""
+        at = micros(now())
+        with self._lock:
+            return {name: (known.load, known.suspect_until > at) for name, known in self._balancer.backends.items()}
+
     def relist(self, names: Sequence[str]) -> None:
         """Tells the module how these hosts are seen now."""
         seen = [host for name in names if (host := self._cluster.find(name)) is not None]
--- a/bramblestile/operations/calls.py
+++ b/bramblestile/operations/calls.py
@@ -36,6 +36,9 @@
     def is_quiet(self, host: str) -> bool:
         """No request is being sent there."""
 
+    def work(self, verb: str, text: str) -> Callable[[], tuple[int, str] | None] | None:
+        """A call about the order of work: what is to be asked until it gives status and text. None: there is none."""
+
     def fleet(self) -> str | None:
         """The members of the fleet, as JSON; None where this balancer is in none."""
 
@@ -57,6 +60,14 @@
                     return Answer(405, "GET it", allow="GET, HEAD")
                 why = self._operated.why_not_ready()
                 return YES if why is None else Answer(503, why)
+            case ("work",) | ("work", "history"):
+                if call.method not in ("GET", "HEAD"):
+                    return Answer(405, "GET it", allow="GET, HEAD")
+                return self._work("history" if len(call.path) > 2 else "show", "")
+            case ("work", "plan" | "start" | "pause" | "resume" | "abort" as verb):
+                return self._put(call) or self._work(verb, call.body.decode("utf-8", "replace"))
+            case ("work", "done" | "drop" | "forget" as verb, name):
+                return self._put(call) or self._work(verb, name)
             case ("fleet",):
                 if call.method not in ("GET", "HEAD"):
                     return Answer(405, "GET it", allow="GET, HEAD")
@@ -68,6 +79,17 @@
                 return self._put(call) or self._host(host, what == "suspend")
         return NOWHERE
 
+    def _work(self, verb: str, text: str) -> Answer | Pending:
+        pending = self._operated.work(verb, text)
+        if pending is None:
+            return Answer(404, "this balancer has no part in an order of work")
+
+        def answer() -> Answer | None:
+            got = pending()
+            return None if got is None else Answer(*got)
+
+        return answer
+
     def _put(self, call: Call) -> Answer | None:
         return None if call.method == "PUT" else Answer(405, "PUT it", allow="PUT")
 
--- a/bramblestile/operations/http.py
+++ b/bramblestile/operations/http.py
@@ -10,10 +10,11 @@
 from urllib.parse import unquote_to_bytes
 
 LONGEST_HEAD = 4096  # bytes: the calls' own heads take some 100
-LONGEST_BODY = 4096  # no call has a meaning for its body; it is read, since its caller may not listen before
+LONGEST_BODY = 16384  # bytes: a plan of work for 1,000 machines; the other calls' bodies mean nothing
 MOST_FIELDS = 64
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+           409: "Conflict",
            413: "Content Too Large", 417: "Expectation Failed", 431: "Request Header Fields Too Large",
            501: "Not Implemented", 503: "Service Unavailable", 505: "HTTP Version Not Supported"}
 _TOKEN = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
@@ -25,6 +26,7 @@
 
     method: str
     path: tuple[str, ...]
+    body: bytes = b""
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,7 +54,8 @@
     def __init__(self) -> None:
         self._held = bytearray()
         self._call: Call | None = None
-        self._body_left = 0
+        self._body = bytearray()
+        self._length = 0  # of the body
         self.wants_continue = False  # the caller waits for CONTINUE before it sends its body
         self.method = ""
 
@@ -65,16 +68,15 @@
                 raise FaultError(431, f"a head of more than {LONGEST_HEAD} bytes")
             if end is None:
                 return None
-            head, rest = bytes(self._held[:end]), len(self._held) - end
-            self._held.clear()
+            head, self._body = bytes(self._held[:end]), self._held[end:]
+            self._held = bytearray()
             self._call = self._parse(head)
-            self._body_left -= rest
         else:
-            self._body_left -= len(data)
-        if self._body_left > 0:
+            self._body += data
+        if len(self._body) < self._length:
             return None
         self.wants_continue = False
-        return self._call
+        return Call(self._call.method, self._call.path, bytes(self._body[:self._length]))
 
     def _head_end(self) -> int | None:
         """A bare LF ends a line too; empty lines before the request line are passed over, as RFC 9112 asks."""
@@ -114,7 +116,7 @@
         for value in lengths:
             if len(value) > 9 or int(value) > LONGEST_BODY:
                 raise FaultError(413, f"a body of more than {LONGEST_BODY} bytes")
-            self._body_left = int(value)
+            self._length = int(value)
         return Call(self.method, _segments(words[1]))
 
 
--- a/bramblestile/operations/server.py
+++ b/bramblestile/operations/server.py
@@ -28,9 +28,28 @@
 SAID = timedelta(milliseconds=900)  # from the accept to the answer's last byte, as an answer is owed within 1 s
 LINGER = timedelta(milliseconds=300)  # after our answer, for its reader
 TICK = timedelta(milliseconds=5)  # between two looks at an answer that waits
+LARGEST_ANSWER = 1 << 21  # bytes of another balancer's
 AGAIN = timedelta(milliseconds=500)  # between two tries for an address that another still has
 
 
+def pass_on_call(at: str, method: str, path: str, body: str) -> tuple[int, str]:
+    """The answer of another balancer's management address, ``HOST:PORT``, within ``SAID``; blocks that long."""
+    host, _, port = at.rpartition(":")
+    until = now() + SAID
+    raw = body.encode() if method == "PUT" else b""
+    try:
+        with sockets.dial((host, int(port)), SAID) as sock:
+            sock.settimeout(max(0.01, (until - now()).total_seconds()))
+            sock.sendall(f"{method} {path} HTTP/1.1\r\nHost: {at}\r\nContent-Length: {len(raw)}\r\n\r\n".encode() + raw)
+            got = b""
+            while len(got) < LARGEST_ANSWER and (piece := sock.recv(65536)):
+                got += piece
+        head, _, said = got.partition(b"\r\n\r\n")
+        return int(head.split(b" ", 2)[1]), said.decode("utf-8", "replace").rstrip("\n")
+    except (OSError, ValueError, IndexError) as error:
+        return 503, f"the leader at {at} does not answer: {error}"
+
+
 class _Caller:
     """One connection and how far its call has come."""
 
--- a/bramblestile/process/config.py
+++ b/bramblestile/process/config.py
@@ -137,6 +137,14 @@
     most: timedelta
 
 
+@dataclass(slots=True, frozen=True)
+class WorkConfig:
+    """The order of work; work/ carries it out. ``directory``: where a voter keeps its part of the agreement."""
+
+    voters: tuple[str, ...]
+    directory: Path | None
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     lines: FrontConfig | None  # the platform's front; None: off
@@ -149,6 +157,7 @@
     management: Address | None = None  # where operators call; None: nowhere
     inherited: int | None = None  # the descriptor of the clients' listening socket; None: one of our own
     fleet: FleetConfig | None = None  # None: off
+    work: WorkConfig | None = None  # None: off
     kept_in: Path | None = None  # the folder for what outlasts the process; None: nothing does
     told: Mapping[str, Any] = field(default_factory=dict, compare=False)  # the file's own words
 
@@ -354,6 +363,22 @@
     return FleetConfig(own, listen, advertised, tuple(found), keys, at.text("hall", hall or "-"), probe, least, most)
 
 
+def _work(top: Section, fleet: FleetConfig | None) -> WorkConfig:
+    at = top.section("work")
+    if fleet is None:
+        raise ConfigError(f"{at.path}: needs a fleet table, by which the balancers know one another")
+    if not top.has("management"):
+        raise ConfigError(f"{at.path}: needs a management address, where it is asked")
+    voters = at.values.get("voters")
+    if not isinstance(voters, list) or not all(isinstance(v, str) and v for v in voters) \
+            or len(set(voters)) != len(voters) or len(voters) not in (1, 3, 5):
+        raise ConfigError(f"{at.key('voters')}: {voters!r:.80} is not a list of 1, 3 or 5 members' names")
+    directory = Path(at.text("directory")) if at.has("directory") else None
+    if fleet.name in voters and (directory is None or not directory.is_dir()):
+        raise ConfigError(f"{at.key('directory')}: {str(directory)!r} is no folder, and {fleet.name} is a voter")
+    return WorkConfig(tuple(voters), directory)
+
+
 def _keys(at: Section) -> tuple[bytes, ...]:
     """A key to a line, in hexadecimal; the first one seals."""
     if not at.has("key_file"):
@@ -422,13 +447,14 @@
         top.section("trace"), top.text("name", "bramblestile"), settings[0].zone,
         {c.name for s in settings for c in s.classes})
     said = top.section("log")
+    fleet = None if not top.has("fleet") else _fleet(
+        top.section("fleet"), top.text("name", "bramblestile"), settings[0].zone)
     return Config(lines, nats_, _health(top.section("health")),
                   _store(top.section("store")) if top.has("store") else None, _seed(top), trace,
                   LogConfig(said.one_of("level", log.LEVELS, "info"), said.one_of("form", log.FORMS, "auto")),
                   top.address("management") if top.has("management") else None,
-                  _inherited(environment or {}) if lines else None,
-                  _fleet(top.section("fleet"), top.text("name", "bramblestile"), settings[0].zone)
-                  if top.has("fleet") else None,
+                  _inherited(environment or {}) if lines else None, fleet,
+                  _work(top, fleet) if top.has("work") else None,
                   _kept_in(environment or {}), dict(values))
 
 
--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -9,15 +9,16 @@
 import sys
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from datetime import timedelta
 from queue import Empty, SimpleQueue
 from random import Random
 from typing import TYPE_CHECKING, Any
+from urllib.parse import quote
 
 from bramblestile import __version__, log, sockets
-from bramblestile.clock import NOTHING, now
+from bramblestile.clock import MICROSECOND, NOTHING, now
 from bramblestile.life import adopt
 from bramblestile.log import Log
 from bramblestile.memory.connections import Standing
@@ -26,9 +27,18 @@
 from bramblestile.operations.evacuation import Evacuation
 from bramblestile.operations.kept import Kept, Orders
 from bramblestile.operations.passport import unpacked
-from bramblestile.operations.server import Server
+from bramblestile.operations.server import Server, pass_on_call
 from bramblestile.operations.succession import Succession
-from bramblestile.process.config import Config, ConfigError, FleetConfig, StoreConfig, TraceConfig, load, missing
+from bramblestile.process.config import (
+    Config,
+    ConfigError,
+    FleetConfig,
+    StoreConfig,
+    TraceConfig,
+    WorkConfig,
+    load,
+    missing,
+)
 from bramblestile.process.front import Front, LineFront, NatsFront, naming
 from bramblestile.process.listeners import Listener, take_over
 from bramblestile.store.journal import Journal, JournalError
@@ -37,10 +47,13 @@
 from bramblestile.tracing import Tracer, Tracing
 from bramblestile.wire import agent, peers
 from bramblestile.wire.peers import Peers
+from vanegw.interface import State
 
 if TYPE_CHECKING:
     from bramblestile.fleet.gossip import Gossip
     from bramblestile.trace.recorder import Recorder
+    from bramblestile.work.office import Bound, Office
+    from bramblestile.work.planner import Seen
 
 STACK = 192 * 1024  # bytes; two threads for each standing connection must fit the memory limit
 STILL_COMING = timedelta(milliseconds=600)  # after SIGTERM the front goes on sending for up to 0.4 s
@@ -76,6 +89,17 @@
         Limits(plan.file_bytes, plan.file_age, plan.total_bytes), plan.keep), counters)
 
 
+def make_office(plan: WorkConfig, daemon: Daemon, gossip: Gossip, config: Config) -> Office:
+    from bramblestile.work import office
+
+    assert config.fleet is not None and config.management is not None
+    try:
+        return office.Office(config.fleet.name, plan.voters, plan.directory, config.kept_in, gossip, daemon,
+                             daemon.counters, "{}:{}".format(*config.management))
+    except (JournalError, OSError) as error:
+        raise ConfigError(f"work.directory: {error}") from None
+
+
 def make_gossip(plan: FleetConfig, counters: Counters, patient: bool) -> Gossip:
     """Its library is loaded here and nowhere else on the way of ``run``: on the platform balancers never talk."""
     try:
@@ -125,8 +149,14 @@
         self.succession: Succession | None = None
         self.gossip = None if config.fleet is None else make_gossip(
             config.fleet, self.counters, patient=config.inherited is not None)
+        self.office: Office | None = None
+        self._bound: Bound | None = None
         if self.gossip is not None:
             self.gossip.figures = self._figures
+            if config.work is not None:
+                self.office = make_office(config.work, self, self.gossip, config)
+                for front in self.fronts:
+                    front.cluster.may = self.office.allows
         if self.lines is not None and config.inherited is not None:
             try:
                 self.lines.inherited = take_over(config.inherited)
@@ -156,6 +186,8 @@
             front.start()
         if self.gossip is not None:
             self.gossip.start()
+        if self.office is not None:
+            self.office.start()
         threading.Thread(target=self._become_ready, name="ready", daemon=True).start()
         if self.config.store is not None and self.store is not None and self.peers is not None:
             self._start_store(self.config.store, self.store, self.peers)
@@ -176,6 +208,8 @@
             self._take_from_inherited()
         for front in self.fronts:
             front.heard.wait(max(NOTHING, until - now()).total_seconds())
+        if self.office is not None:  # or it might send where nobody else does
+            self.office.first_word.wait(max(NOTHING, until - now()).total_seconds())
         if self.succession is not None:
             self.succession.wait_for_learned(RECALL_WITHIN)
         with self._recalling:  # only now: what it tells of hosts holds for those that are listed
@@ -229,13 +263,17 @@
 
     def _obey(self, orders: Orders) -> None:
         """The clusters first: they are asked at every send. The module hears of it in the orders' own thread."""
-        changed = [(front, front.cluster.obey(orders.suspended, orders.back)) for front in self.fronts]
+        bound = self._bound
+        closed, back, lean, left = (orders.suspended, orders.back, None, {}) if bound is None else (
+            bound.closed | orders.suspended.keys(), {**orders.back, **bound.back}, bound.lean, bound.left)
+        changed = [(front, front.cluster.obey(closed, back, lean)) for front in self.fronts]
         if orders.drained != (self._drained_since is not None):
             self._drained_since = now() if orders.drained else None
             for front in self.fronts:
                 front.away = orders.drained
         plans: dict[tuple[str | None, timedelta], Evacuation] = {
-            (host, since): Evacuation(since + LEFT_FROM, since + LEFT_BY) for host, since in orders.suspended.items()}
+            (host, since): Evacuation(since + LEFT_FROM, since + LEFT_BY)
+            for host, since in {**left, **orders.suspended}.items()}
         if self._drained_since is not None:
             began = self._drained_since
             plans[None, began] = Evacuation(began + DRAINED_FROM, began + DRAINED_BY)
@@ -344,6 +382,62 @@
             self.peers.stop()
             self.store.stop()
 
+    # What the order of work asks and does.
+
+    def hosts(self) -> list[str]:
+        return [host.id for front in self.fronts for host in front.cluster.hosts()]
+
+    def standing(self, hosts: Iterable[str]) -> dict[str, int]:
+        wanted, found = set(hosts), dict[str, int]()
+        for one in self._standing():
+            if one.host in wanted:
+                found[one.host] = found.get(one.host, 0) + 1
+        return found
+
+    def seen(self) -> dict[str, Seen]:
+        from bramblestile.work.planner import Seen
+
+        found = {}
+        for front in self.fronts:
+            figures = front.decisions.figures()
+            for host in front.cluster.listed():
+                load, masked = figures.get(host.id, (None, False))
+                running = host.state is State.RUNNING and not masked
+                found[host.id] = Seen(host.zone, host.weight, front.warmth(host), running,
+                                      born=0 if host.born is None else host.born // MICROSECOND,
+                                      load=(load or 0.0) * host.weight * front.warmth(host))
+        return found
+
+    def by_hand(self) -> list[str]:
+        return sorted(self.kept.orders.suspended)
+
+    def bind(self, bound: Bound) -> None:
+        with self._ordering:
+            self._bound = bound
+            self._obey(self.kept.orders)
+
+    def work(self, verb: str, text: str) -> Callable[[], tuple[int, str] | None] | None:
+        """Asked of the leader, wherever it is. What is returned is asked over and over and waits for nothing."""
+        office = self.office
+        if office is None:
+            return None
+        at = office.leader_at()
+        if at is None:
+            asked = office.ask(verb, text)
+            return lambda: asked.answer
+        answer: list[tuple[int, str]] = []
+
+        def pass_on() -> None:
+            path = {"show": "", "history": "/history"}.get(verb, f"/{verb}/{quote(text, safe='')}"
+                                                           if verb in ("done", "drop", "forget") else f"/{verb}")
+            answer.append(pass_on_call(at, "GET" if verb in ("show", "history") else "PUT", "/v1/work" + path, text))
+
+        try:
+            threading.Thread(target=pass_on, name="work call", daemon=True).start()
+        except RuntimeError:
+            return lambda: (503, "no thread is to be had")
+        return lambda: answer[0] if answer else None
+
     def _figures(self) -> dict[str, float]:
         """What the other members are told of this one: requests a second since it was last asked."""
         asked, at = sum(self.counters.get(f"{front.name}_accepted") for front in self.fronts), now()
@@ -364,6 +458,8 @@
         returns in time."""
         began = now()
         self.stop_store()
+        if self.office is not None:
+            self.office.stop()
         if self.gossip is not None:
             self.gossip.stop()
         self.leaving = True  # said at once; what still comes is taken
--- a/bramblestile/work/foreman.py
+++ b/bramblestile/work/foreman.py
@@ -94,7 +94,8 @@
             order.id if told else "", order.status, order.ahead, len(order.names) if told else 0,
             {n: str(s) for n, s in order.left_alone().items()}, tuple(order.window()),
             tuple(m.name for m in order.machines.values() if m.stage in OVER)[-PAGE:] if told else (),
-            order.refuge() if told else (), have, order.names[have:have + PAGE] if told else ())
+            order.refuge() if told else (), have, order.names[have:have + PAGE] if told else (),
+            tuple(m.name for m in order.machines.values() if m.stage in (Stage.BACK, Stage.COLD))[:2 * PAGE])
         wanted = order.id if told else ""
         if not entered or (got.plan == wanted and order.roster[got.name] != wanted):
             return reply, keys.roster_key(got.name, got.plan if got.plan == wanted else "")
--- a/bramblestile/work/hand.py
+++ b/bramblestile/work/hand.py
@@ -22,6 +22,7 @@
 POLL_EVERY = LEASE / 4
 MILLISECOND = timedelta(milliseconds=1)
 MOST_NAMES = 1000
+LEAST_LEAN, MOST_LEAN = 0.02, 0.3  # of a machine whose turn is next, and of the last one
 
 
 @dataclass(slots=True)
@@ -40,6 +41,7 @@
     refuge: frozenset[str] = frozenset()
     over: set[str] = field(default_factory=set)
     names: list[str] = field(default_factory=list)  # of the plan, as far as they have been told
+    back: frozenset[str] = frozenset()
     until: timedelta | None = None  # of the lease; None: never had one
     due: timedelta = timedelta(0)
 
@@ -61,6 +63,7 @@
         self.plan, self.status, self.ahead, self.count = got.plan, got.status, got.ahead, got.count
         self.alone = {name: stage for name, stage in got.alone.items() if stage in LEFT_ALONE}
         self.window, self.refuge = frozenset(got.window), frozenset(got.refuge)
+        self.back = frozenset(got.back)
         self.over.update(got.over)
         if got.at == len(self.names) < got.count <= MOST_NAMES:
             self.names += got.names[:got.count - got.at]
@@ -85,6 +88,15 @@
             return "bound"
         return "cut off" if at < self.until + SILENT else "silent"
 
+    def lean(self) -> dict[str, float]:
+        """By what part of its weight each machine still to come draws new clients: the nearer its turn the less. They
+        go to those whose turn is over, or never comes."""
+        if self.status not in ("running", "paused"):
+            return {}
+        waiting = [n for n in self.names if not (n in self.over or n in self.alone or n in self.back)]
+        step = (MOST_LEAN - LEAST_LEAN) / max(1, len(waiting))
+        return {name: LEAST_LEAN + step * place for place, name in enumerate(waiting)}
+
     def allows(self, host: str, at: timedelta) -> bool:
         """Whether something new may be sent there now."""
         if host in self.alone:
--- a/bramblestile/work/messages.py
+++ b/bramblestile/work/messages.py
@@ -21,6 +21,7 @@
     standing: dict[str, int] = {}
     have: int = 0
     hops: int = 0  # a voter that does not lead passes it on, once
+    by_hand: tuple[str, ...] = ()  # machines that an operator has taken out at this balancer
 
 
 class Reply(msgspec.Struct, array_like=True, frozen=True):
@@ -43,8 +44,10 @@
     refuge: tuple[str, ...] = ()
     at: int = 0
     names: tuple[str, ...] = ()
+    back: tuple[str, ...] = ()  # whose work is done, and who are not warm yet
 
 
+LARGEST = 1000  # bytes: with the membership's own part and the seal one datagram
 Body = Poll | Reply
 _poll, _reply = msgspec.msgpack.Decoder(Poll), msgspec.msgpack.Decoder(Reply)
 _encoder = msgspec.msgpack.Encoder()
--- a/bramblestile/work/order.py
+++ b/bramblestile/work/order.py
@@ -170,5 +170,19 @@
     return f"{PREFIX}b/{name}", f"plan {plan}"
 
 
+def history_keys(order: Order, values: Mapping[str, str], at: int) -> list[tuple[str, str]]:
+    """How a plan went, for operators; the oldest beyond ``MOST_HISTORY`` go."""
+    start = PREFIX + "history/"
+    old = sorted(key for key in values if key.startswith(start))
+    stages = [m.stage for m in order.machines.values()]
+    told = {"id": order.id, "reason": order.reason, "ended_us": at, "aborted": order.status is Status.ABORTED,
+            "done": stages.count(Stage.DONE), "dropped": stages.count(Stage.DROPPED), "machines": len(stages)}
+    return [*((key, "") for key in old[:len(old) + 1 - MOST_HISTORY]), (start + order.id, _said(told))]
+
+
+def history(values: Mapping[str, str]) -> list[Any]:
+    return [json.loads(value) for key, value in sorted(values.items()) if key.startswith(PREFIX + "history/")]
+
+
 def forgotten_key(name: str) -> tuple[str, str]:
     return f"{PREFIX}b/{name}", ""
--- a/bramblestile/work/planner.py
+++ b/bramblestile/work/planner.py
@@ -139,15 +139,6 @@
     return ahead, [m.name for m in _by_rank(order) if m.stage is Stage.WAITING and m.rank < ahead]
 
 
-def lean(order: Order) -> dict[str, float]:
-    """By what part of its weight each machine still to come draws new clients: the nearer its turn the less. They go
-    to those whose turn is over, or never comes."""
-    if not order.is_on or order.status is Status.ABORTED:
-        return {}
-    waiting = [m for m in _by_rank(order) if m.stage in (Stage.WAITING, Stage.CLAIMED)]
-    return {m.name: 0.02 + 0.28 * place / len(waiting) for place, m in enumerate(waiting)}
-
-
 def _by_rank(order: Order) -> Iterable[Machine]:
     return sorted(order.machines.values(), key=lambda m: m.rank)
 
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -77,6 +77,9 @@
     def fleet(self) -> str | None:
         return None
 
+    def work(self, verb: str, text: str) -> Callable[[], tuple[int, str] | None] | None:
+        return None
+
 
 @pytest.fixture
 def served() -> Iterator[tuple[Server, Balancer, Counters]]:
