--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -41,17 +41,15 @@
 )
 from bramblestile.process.front import Front, LineFront, NatsFront, naming
 from bramblestile.process.listeners import Listener, take_over
-from bramblestile.store.journal import Journal, JournalError
-from bramblestile.store.replica import Replica
-from bramblestile.store.service import Store
 from bramblestile.tracing import Tracer, Tracing
-from bramblestile.wire import agent, peers
-from bramblestile.wire.peers import Peers
+from bramblestile.wire import agent
 from vanegw.interface import State
 
 if TYPE_CHECKING:
     from bramblestile.fleet.gossip import Gossip
+    from bramblestile.store.service import Store
     from bramblestile.trace.recorder import Recorder
+    from bramblestile.wire.peers import Peers
     from bramblestile.work.office import Bound, Office
     from bramblestile.work.planner import Seen
 
@@ -90,6 +88,7 @@
 
 
 def make_office(plan: WorkConfig, daemon: Daemon, gossip: Gossip, config: Config) -> Office:
+    from bramblestile.store.journal import JournalError
     from bramblestile.work import office
 
     assert config.fleet is not None and config.management is not None
@@ -350,6 +349,12 @@
             self.recorder.stop()
 
     def _make_store(self, made: StoreConfig, seed: int) -> None:
+        """Loaded here only: on the platform there is none."""
+        from bramblestile.store.journal import Journal, JournalError
+        from bramblestile.store.replica import Replica
+        from bramblestile.store.service import Store
+        from bramblestile.wire.peers import Peers
+
         self.peers = Peers(made.peers, made.name, self.counters)
         try:
             journal = Journal(made.directory / f"{made.name}.journal")
@@ -359,6 +364,8 @@
         self.store = Store(replica, self.peers.send, self.stored)
 
     def _start_store(self, made: StoreConfig, store: Store, ways: Peers) -> None:
+        from bramblestile.wire import peers
+
         def serve(sock: socket.socket) -> None:
             peers.serve(sock, store, made.peers, self.counters)
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -26,7 +26,8 @@
     "nats": {"listen": "127.0.0.1:0"},
     "trace": {"directory": "traces"},
     "store": {"name": "p1", "directory": ".", "peers": {"p1": "127.0.0.1:4"}},
-    "fleet": {"listen": "127.0.0.1:5", "seeds": ["127.0.0.2:5"]},
+    "fleet": {"listen": "127.0.0.1:5", "seeds": ["127.0.0.2:5"]}, "management": "127.0.0.1:6",
+    "work": {"voters": ["bramblestile", "b", "c"], "directory": "."},
 }
 
 
@@ -67,7 +68,8 @@
     ("store.directory", "nowhere"), ("store.name", "stranger"), ("store.peers.p9", "10.0.0.1:1"),
     ("fleet.listen", "10.0.0.1:5"), ("fleet.seeds", "127.0.0.1:5"), ("fleet.seeds[0]", ["nowhere"]),
     ("fleet.seeds", ["10.0.0.1:5"]), ("fleet.key_file", "no such file"), ("fleet.name", "n" * 65),
-    ("fleet.probe_ms", 1), ("fleet.suspect_most_ms", 200), ("fleet.advertise", "somewhere"),
+    ("work.voters", ["a", "b"]), ("work.voters", ["a", "a", "b"]), ("work.voters", "a"), ("work.directory", "nowhere"),
+    ("work", {}), ("fleet.probe_ms", 1), ("fleet.suspect_most_ms", 200), ("fleet.advertise", "somewhere"),
 ])
 def test_a_message_names_the_faulty_key(path: str, value: object) -> None:
     values = copy.deepcopy(GOOD)
@@ -129,7 +131,7 @@
         taken.bind(("127.0.0.1", 0))
         if kind is socket.SOCK_STREAM:
             taken.listen()
-        values = {key: value for key, value in GOOD.items() if key not in ("trace", "discovery", "store", "fleet")}
+        values = {key: GOOD[key] for key in ("listen", "settings", "known", "nats")}
         values["store"] = {"name": "p1", "directory": str(tmp_path), "peers": {"p1": "127.0.0.1:0"}}
         at: Any = values
         *parents, last = key.split(".")
