What balancers say they have taken up is agreed on before any machine leaves

A start of many keys took longer than its call. Change: the roster's lacks go first, sixteen proposals at once.

--- a/bramblestile/lab/working.py
+++ b/bramblestile/lab/working.py
@@ -233,6 +233,11 @@
         foreman.apply(order, replica.applied, at)
         if replica.applied != replica.journal.last()[0]:
             return  # one thing at a time
+        entering = foreman.to_enter(order)
+        for entry in entering:
+            self._propose(process, replica, entry, at)
+        if entering:
+            return
         if process.plan_keys:
             self._propose(process, replica, process.plan_keys.pop(0), at)
             return
--- a/bramblestile/lab/worksite.py
+++ b/bramblestile/lab/worksite.py
@@ -71,7 +71,11 @@
         raise FailedError(f"{path}: {answer[0]} {answer[1]}")
 
     def begin(self, machines: Iterable[str] | None = None, **more: Any) -> None:
-        self.say("/start", self.plan(machines, **more))
+        """Said until it is on: a start that was not agreed on in time may still come to hold."""
+        try:
+            self.say("/start", self.plan(machines, **more))
+        except FailedError:
+            self.wait(lambda: self.shown.get("status") == "running", 10)
 
     def ready(self) -> None:
         """Every balancer that runs takes part."""
--- a/bramblestile/work/foreman.py
+++ b/bramblestile/work/foreman.py
@@ -59,6 +59,7 @@
     told: dict[str, tuple[Stage, int, timedelta]] = field(default_factory=dict)  # stage, version, since when we know
     left: set[str] = field(default_factory=set)  # balancers that have left the fleet
     finished: set[str] = field(default_factory=set)  # machines whose work is done, by the command or an operator
+    entering: dict[str, str] = field(default_factory=dict)  # balancers, and what the roster is to say of them
     failed: dict[str, str] = field(default_factory=dict)  # machines whose work has failed, and why
     why: str = ""  # no machine leaves now
     announced: tuple[int, timedelta] = (-1, timedelta(0))  # how far turns are, and since when we know
@@ -68,7 +69,7 @@
         if term != self.term:
             self.term, self.began = term, at
             self.heard, self.told, self.finished, self.failed = {}, {}, set(), {}
-            self.announced = -1, at
+            self.announced, self.entering = (-1, at), {}
 
     def apply(self, order: Order, version: int, at: timedelta) -> None:
         """What is committed by now, and from which version on we know it."""
@@ -103,9 +104,18 @@
             tuple(m.name for m in order.machines.values() if m.stage in (Stage.BACK, Stage.COLD))[:2 * PAGE])
         wanted = order.id if told else ""
         if not entered or (got.plan == wanted and order.roster[got.name] != wanted):
-            return reply, keys.roster_key(got.name, got.plan if got.plan == wanted else "")
+            self.entering[got.name] = got.plan if got.plan == wanted else ""
+            return reply, keys.roster_key(got.name, self.entering[got.name])
         return reply, None
 
+    def to_enter(self, order: Order) -> list[Proposal]:
+        """What the roster still lacks of what balancers have said; it goes before any step. Seen: proposed only where a
+        poll met no other proposal on its way, a leader's own taking up was not agreed on when it was cut off, and the
+        next one waited for it for ever."""
+        self.entering = {n: plan for n, plan in self.entering.items()
+                         if order.roster.get(n) != plan and plan in ("", order.id)}
+        return [keys.roster_key(name, plan) for name, plan in self.entering.items()]
+
     def lacks(self, machine: Machine, order: Order, at: timedelta) -> dict[str, str]:
         """The balancers that may still send there, each with the reason."""
         found = {}
@@ -166,7 +176,8 @@
         self.why = chosen.why
         if chosen.name is None:
             return None
-        if order.machines[chosen.name].rank >= order.floor and at - self.announced[1] <= UNHEARD:
+        unsaid = any(plan != order.id for name, plan in order.roster.items() if name not in self.left)
+        if (unsaid or order.machines[chosen.name].rank >= order.floor) and at - self.announced[1] <= UNHEARD:
             self.why = f"the turn of {chosen.name} is being announced"  # else a leader after us would wait for long
             return None
         return keys.machine_key(order.id, chosen.name, Stage.LEAVING, "", at // MICROSECOND)
--- a/bramblestile/work/office.py
+++ b/bramblestile/work/office.py
@@ -41,6 +41,7 @@
 WAITING = 2048  # letters that nobody has read yet; later ones are lost, as datagrams are
 ROOM = 600  # bytes of entries in one letter between voters
 ELECTION = timedelta(milliseconds=1200)  # beyond a slow sync and a busy core; nothing waits but the next step of work
+AT_ONCE = 16  # proposals that do not hang on one another
 KEPT = "version 1"
 MANAGED_FOR = timedelta(minutes=1)  # a voter's management address holds so long, told again at a third of it
 ANSWERED_WITHIN = timedelta(milliseconds=850)  # an operators' call is answered within 1 s
@@ -320,15 +321,19 @@
                 foreman.finished.update(() if wrong else {machine})
         if replica.applied != replica.journal.last()[0]:
             return  # one thing at a time
-        if self._plan_keys:
-            self._propose(replica, self._plan_keys.pop(0), at)
+        at_once = [*self.foreman.to_enter(order), *self._plan_keys][:AT_ONCE]
+        for proposal in at_once:  # none of them hangs on another but by its place in the log
+            if proposal in self._plan_keys:
+                self._plan_keys.remove(proposal)
+            self._propose(replica, proposal, at)
+        if at_once:
             return
         self._command(order)
-        proposal = foreman.step(order, self._fleet(), at) or self._tidy(order, members, at)
-        if proposal is not None:
-            if proposal == keys.status_key(order.id, Status.ENDED):
+        step = foreman.step(order, self._fleet(), at) or self._tidy(order, members, at)
+        if step is not None:
+            if step == keys.status_key(order.id, Status.ENDED):
                 self._plan_keys += keys.history_keys(order, replica.values, at // MICROSECOND)
-            self._propose(replica, proposal, at)
+            self._propose(replica, step, at)
 
     def _fleet(self) -> dict[str, Seen]:
         by_hand = {host for hosts in self._by_hand.values() for host in hosts}
@@ -436,7 +441,8 @@
     def _begin(self, call: Asked, order: Order, replica: Replica, at: timedelta) -> None:
         asked, fleet = parse(call.text), self._fleet()
         if call.verb == "start" and (order.is_on or self._plan_keys):
-            raise PlanError(f"the plan {order.id} is {order.status}: one at a time")
+            told = f"the plan {order.id} is {order.status}" if order.is_on else "a plan is being written"
+            raise PlanError(f"{told}: one at a time")
         names, tail = settle(asked, fleet)
         if call.verb == "plan":
             call.answer = 200, json.dumps({"order": names, "refuge": names[len(names) - tail:],
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -222,6 +222,7 @@
         return structs.replace(hear(self, got, now, version, at)[0], lease_ms=3000), None
 
     patch.setattr(Foreman, "hear", heard)
+    patch.setattr(Foreman, "to_enter", lambda self, now: [])
 
 
 def thinks_leases_shorter_than_they_are(patch: pytest.MonkeyPatch) -> None:
