--- a/bramblestile/cli/fleet.py
+++ b/bramblestile/cli/fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import json
 from collections import Counter
 from typing import Any
@@ -10,7 +9,9 @@
 import click
 
 from bramblestile.cli.common import Failed
-from bramblestile.cli.ops import WITHIN, at_option
+from bramblestile.cli.ops import at_option, call
+
+LARGEST = 1 << 22  # bytes of an answer; a member takes some 200
 
 
 @click.group("fleet")
@@ -22,21 +23,13 @@
     """
 
 
-def asked(address: tuple[str, int], path: str) -> Any:
+def asked(ctx: click.Context, part: str, path: str) -> Any:
     """What the management address answers to a GET, read as JSON."""
-    host, port = address
-    line = http.client.HTTPConnection(host, port, timeout=WITHIN)
+    said = call(ctx, part, "GET", path, most=LARGEST)
     try:
-        line.request("GET", path)
-        answer = line.getresponse()
-        said = answer.read(1 << 22).decode("utf-8", "replace")
-        if answer.status != 200:
-            raise Failed(f"{host}:{port}: {answer.status} {said.strip()}")
         return json.loads(said)
-    except (OSError, http.client.HTTPException, ValueError) as error:
-        raise Failed(f"{host}:{port}: {error!r}") from None
-    finally:
-        line.close()
+    except ValueError as error:
+        raise Failed(f"{part}: {error}") from None
 
 
 @group.command()
@@ -44,7 +37,7 @@
 @click.pass_context
 def show(ctx: click.Context, as_json: bool) -> None:
     """Print all members: state, for how long, hall, version, share of the fleet's requests."""
-    got = asked(ctx.obj, "/v1/fleet")
+    got = asked(ctx, "fleet", "/v1/fleet")
     if as_json:
         click.echo(json.dumps(got, indent=1))
         return
--- a/bramblestile/cli/ops.py
+++ b/bramblestile/cli/ops.py
@@ -34,20 +34,25 @@
     """
 
 
-def _call(ctx: click.Context, method: str, path: str) -> None:
+def call(ctx: click.Context, part: str, method: str, path: str, body: bytes = b"", most: int = 4096) -> str:
+    """What the management address answers to one call, ``most`` bytes of it; Failed where it is not a yes."""
     host, port = ctx.obj
     line = http.client.HTTPConnection(host, port, timeout=WITHIN)
     try:
-        line.request(method, path)
+        line.request(method, path, body or None)
         answer = line.getresponse()
-        said = answer.read(4096).decode("utf-8", "replace").strip()
+        said = answer.read(most).decode("utf-8", "replace").strip()
     except (OSError, http.client.HTTPException) as error:
-        raise Failed(f"ops: {host}:{port}: {error!r}") from None
+        raise Failed(f"{part}: {host}:{port}: {error!r}") from None
     finally:
         line.close()
     if not 200 <= answer.status < 300:
-        raise Failed(f"ops: {host}:{port}: {answer.status} {said}")
-    click.echo(said)
+        raise Failed(f"{part}: {host}:{port}: {answer.status} {said}")
+    return said
+
+
+def _call(ctx: click.Context, method: str, path: str) -> None:
+    click.echo(call(ctx, "ops", method, path))
 
 
 @group.command()
--- a/bramblestile/cli/work.py
+++ b/bramblestile/cli/work.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import json
 from pathlib import Path
 from typing import Any
@@ -11,8 +10,8 @@
 import click
 
 from bramblestile.cli.common import FILE, Failed
-from bramblestile.cli.fleet import asked
-from bramblestile.cli.ops import WITHIN, at_option
+from bramblestile.cli.fleet import LARGEST, asked
+from bramblestile.cli.ops import at_option, call
 
 
 @click.group("work")
@@ -25,19 +24,7 @@
 
 
 def _put(ctx: click.Context, path: str, body: bytes = b"") -> str:
-    host, port = ctx.obj
-    line = http.client.HTTPConnection(host, port, timeout=WITHIN)
-    try:
-        line.request("PUT", "/v1/work/" + path, body)
-        answer = line.getresponse()
-        said = answer.read(1 << 20).decode("utf-8", "replace").strip()
-    except (OSError, http.client.HTTPException) as error:
-        raise Failed(f"work: {host}:{port}: {error!r}") from None
-    finally:
-        line.close()
-    if answer.status != 200:
-        raise Failed(f"work: {answer.status} {said}")
-    return said
+    return call(ctx, "work", "PUT", "/v1/work/" + path, body, LARGEST)
 
 
 @group.command()
@@ -73,7 +60,7 @@
 @click.pass_context
 def show(ctx: click.Context, as_json: bool) -> None:
     """Show how far the plan has come, and what it waits for."""
-    got = asked(ctx.obj, "/v1/work")
+    got = asked(ctx, "work", "/v1/work")
     if as_json:
         click.echo(json.dumps(got, indent=1))
         return
@@ -98,7 +85,7 @@
 @click.pass_context
 def history(ctx: click.Context) -> None:
     """Show the plans that have ended."""
-    for one in asked(ctx.obj, "/v1/work/history"):
+    for one in asked(ctx, "work", "/v1/work/history"):
         click.echo(f"{one['id']}: {one['done']} of {one['machines']} done, {one['dropped']} dropped"
                    f"{', aborted' if one['aborted'] else ''}; {one['reason']}")
 
--- a/bramblestile/fleet/gossip.py
+++ b/bramblestile/fleet/gossip.py
@@ -57,7 +57,6 @@
         self._told: dict[str, Telling] = {}
         self._figures_at = now()
         self.figures: Figures | None = None
-        self.on_changes: Callable[[list[Change]], None] | None = None
         self.on_load: Callable[[str, bytes], None] | None = None  # the sender's name, and what it sent; must not wait
         self._wake_read, self._wake_write = os.pipe()
         os.set_blocking(self._wake_write, False)
@@ -101,10 +100,6 @@
 
     # What others ask.
 
-    def living(self) -> list[Fact]:
-        with self._lock:
-            return self._members.living()
-
     def told(self, key: str) -> dict[str, bytes]:
         """The entry of this name of each member that has one."""
         with self._lock:
@@ -285,8 +280,6 @@
             self._counters.add(f"fleet_{after}")
             by = {"by": " ".join(change.by)} if change.by else {}
             self._log.info("fleet", member=change.name, state=after, **by)
-        if self.on_changes is not None:
-            self.on_changes(changes)
 
 
 def _row(fact: Fact, for_ms: int, more: dict[str, Any]) -> dict[str, Any]:
--- a/bramblestile/fleet/members.py
+++ b/bramblestile/fleet/members.py
@@ -131,7 +131,6 @@
     began: timedelta
     asked: bool = False  # others, to probe for us
     nacks: int = 0
-    helpers: int = 0
 
 
 @dataclass(slots=True)
@@ -283,7 +282,6 @@
                 known = self.known.get(probe.name)
                 if known is not None:
                     helpers = self._some(self.pace.helpers, but=probe.name)
-                    probe.helpers = len(helpers)
                     out += [(self._address(f), self._message(Kind.ASK, number, about=known.fact, at=at))
                             for f in helpers]
             if at >= self._failed_at(probe):
--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -18,7 +18,7 @@
 from urllib.parse import quote
 
 from bramblestile import __version__, log, sockets
-from bramblestile.clock import MICROSECOND, NOTHING, now
+from bramblestile.clock import NOTHING, now
 from bramblestile.life import adopt
 from bramblestile.log import Log
 from bramblestile.memory.connections import Standing
@@ -411,7 +411,6 @@
                 load, masked = figures.get(host.id, (None, False))
                 running = host.state is State.RUNNING and not masked
                 found[host.id] = Seen(host.zone, host.weight, front.warmth(host), running,
-                                      born=0 if host.born is None else host.born // MICROSECOND,
                                       load=(load or 0.0) * host.weight * front.warmth(host))
         return found
 
--- a/bramblestile/work/planner.py
+++ b/bramblestile/work/planner.py
@@ -19,15 +19,13 @@
 @dataclass(slots=True, frozen=True)
 class Seen:
     """A machine as the leader sees it. ``up``: in service by the list, and not failing by itself; ``by_hand``: an
-    operator has taken it out; ``born``: its last start, microseconds since the epoch, 0 if long ago; ``load``: what its
-    connections ask, in the measure of ``capacity``."""
+    operator has taken it out; ``load``: what its connections ask, in the measure of ``capacity``."""
 
     hall: str = ""
     capacity: float = 1.0
     warmth: float = 1.0
     up: bool = True
     by_hand: bool = False
-    born: int = 0
     load: float = 0.0
 
 
