Membership: waits follow the trips as they are, and whoever runs late gossips less

Cause, seen with 120 processes on 8 cores: figures told by all at once (about 12 s after a common start) made all late, the late were suspected, suspicions are news, and a burst went on for good at 8 cores, a quarter of the fleet under suspicion and 1 to 4 living ones told dead; found by counting datagrams and states every 2 s, with and without list and voters.

--- a/bramblestile/cli/main.py
+++ b/bramblestile/cli/main.py
@@ -17,6 +17,7 @@
     from bramblestile.process.config import TlsConfig
 
 GROUPS = {"store": "Read and write the replicated store.", "trace": "Read, cut, merge and sum up trace files.",
+          "lab": "Play many processes of the program with faults between them.",
           "fleet": "Show which balancers live, as one of them sees it.",
           "ops": "Ask a balancer whether it is ready, take image servers out, send clients away.",
           "work": "Take machines out for work, in an order that the balancers settle.",
--- a/bramblestile/fleet/gossip.py
+++ b/bramblestile/fleet/gossip.py
@@ -50,6 +50,7 @@
         self._counters, self._log = counters, Log(part="fleet")
         self._listen = listen
         self._members = Members(me, seeds, Random(f"{seed} {life}"), now(), pace)
+        self._random = Random(f"{seed} {life} figures")
         self._seal = Seal(life, keys)
         self._lock = threading.Lock()  # the members; held over no socket
         self._sending = threading.Lock()  # counts of the seal, and what is kept to be said again
@@ -273,7 +274,7 @@
         self._figures_at = at + FIGURES_EVERY
         for key, value in self.figures().items():
             with self._lock:
-                holds = self._told.setdefault(key, Telling()).wants(value, self._members.size, at)
+                holds = self._told.setdefault(key, Telling(self._random)).wants(value, self._members.size, at)
                 if holds is not None:
                     self._members.tell(key, f"{value:.6g}".encode(), holds, at)
 
--- a/bramblestile/fleet/members.py
+++ b/bramblestile/fleet/members.py
@@ -9,6 +9,9 @@
   another's "dead" is an accusation like any other. So the word of one who is starved of CPU harms nobody.
 - A step that comes late shows that we ourselves did not run: what fell due meanwhile is no verdict, and every
   suspicion waits that much longer.
+- Waits follow the trips there and back as they are, and who runs late, or sees them long, passes news on less often.
+  Seen with 120 processes on 8 cores: news of all at once made all late, the late were suspected, suspicions are news,
+  and what had begun with a burst went on by itself for good.
 
 Guaranteed: what a member sends in a second does not depend on how many others there are; nothing grows beyond
 ``MOST``; a member that lives and is reached within a suspicion's least wait is never declared dead.
@@ -40,8 +43,11 @@
 )
 from bramblestile.fleet.rumours import Rumours
 from bramblestile.fleet.suspicion import Health, Suspicion
+from bramblestile.fleet.trips import Trips
 
 MOST = 4096  # members that are known at once, dead ones among them
+LATEST = timedelta(seconds=3)  # an answer tells of its trip
+LATE_OVER = 10  # steps over which lateness is remembered
 SECOND_OPINIONS = 3  # expected, in the whole fleet, for each suspicion
 Address = tuple[str, int]
 
@@ -66,6 +72,7 @@
     retry: timedelta = 1000 * _MS  # one dead member or seed is asked again: a split heals by it
     forget: timedelta = timedelta(minutes=10)
     lag: timedelta = 150 * _MS  # a step that comes so late was not ours to take in time
+    strain: float = 10.0  # times its usual lateness is the least between two rounds of a member's gossip
 
 
 @dataclass(slots=True)
@@ -172,6 +179,9 @@
         self._number = random.getrandbits(24)
         self._last = at
         self._wanted = at
+        self._late = NOTHING  # how late our steps usually are
+        self._trips = Trips()
+        self._ended: dict[int, _Probe] = {}  # those that failed: a late answer tells of its trip
         self._probe_at = at + self.pace.period * random.random()
         self._gossip_at = at
         self._sync_at = at
@@ -225,6 +235,7 @@
     def step(self, at: timedelta) -> list[Out]:
         """To be called after all that has arrived was heard."""
         late = at - self._wanted if at > self._wanted else NOTHING
+        self._late += (late - self._late) / LATE_OVER
         if late >= self.pace.lag:
             self._was_away(at - self._last if self._last > self._wanted else late, at)
         self._last = at
@@ -234,7 +245,7 @@
             out += self._probe(at)
             self._judge(at, out)
         if at >= self._gossip_at and len(self._rumours) and self.holder is None:
-            self._gossip_at = at + self.pace.gossip
+            self._gossip_at = at + max(self.pace.gossip, self._late * self.pace.strain, self._trips.bound / 2)
             out += [(self._address(f), self._message(Kind.GOSSIP, at=at)) for f in self._some(self.pace.fanout)
                     if len(self._rumours)]
         if at >= self._sync_at:
@@ -257,7 +268,8 @@
             if known.suspicion is not None:
                 known.suspicion.postponed += gap
         # We cannot have answered meanwhile: others may suspect us, and a word from us ends that soonest.
-        self._gossip_at = self._sync_at = at
+        self._gossip_at = at
+        self._sync_at = min(self._sync_at, at + self.pace.catch_up + self._late * self.pace.strain)
 
     def leave(self, at: timedelta) -> list[Out]:
         """The last word: told to several at once, they pass it on."""
@@ -269,10 +281,17 @@
     # Probes.
 
     def _answer_by(self, probe: _Probe) -> timedelta:
-        return probe.began + self.health.stretched(self.pace.answer)
+        return probe.began + self.health.stretched(self.pace.answer * self._slow())
 
     def _failed_at(self, probe: _Probe) -> timedelta:
-        return probe.began + self.health.stretched(self.pace.period)
+        return probe.began + self._period()
+
+    def _period(self) -> timedelta:
+        return self.health.stretched(self.pace.period * self._slow())
+
+    def _slow(self) -> float:
+        """How many times longer answers take than the pace allows for."""
+        return max(1.0, self._trips.bound / self.pace.answer)
 
     def _probe(self, at: timedelta) -> list[Out]:
         out: list[Out] = []
@@ -286,6 +305,7 @@
                             for f in helpers]
             if at >= self._failed_at(probe):
                 del self._probes[number]
+                self._ended[number] = probe
                 self._failed(probe, at)
         for number, relay in list(self._relays.items()):
             if not relay.nacked and at >= relay.nack_at:
@@ -294,7 +314,8 @@
             if at >= relay.until:
                 del self._relays[number]
         if at >= self._probe_at:
-            self._probe_at = at + self.health.stretched(self.pace.period)
+            self._probe_at = at + self._period()
+            self._ended = {n: probe for n, probe in self._ended.items() if at - probe.began < LATEST}
             name = self._next()
             if name is not None:
                 out += self._ask(name, at)
@@ -343,7 +364,9 @@
         """True where it is news: ``by`` could not reach it."""
         if known.suspicion is None:
             others = self.size - 2  # who could confirm
-            known.suspicion = Suspicion(at, self.pace.least, self.pace.most, min(self.pace.accusers, max(0, others)))
+            slow = self._slow()
+            known.suspicion = Suspicion(at, self.pace.least * slow, self.pace.most * slow,
+                                        min(self.pace.accusers, max(0, others)))
             self._set(known, known.fact, State.SUSPECT, at, by)
         if not known.suspicion.accuse(by):
             return False
@@ -418,6 +441,9 @@
         if relay is not None:
             return [(relay.to, self._message(Kind.ACK, relay.number, facts=() if got.me is None else (got.me,), at=at))]
         probe = self._probes.pop(got.number, None)
+        asked = probe or self._ended.pop(got.number, None)
+        if asked is not None and got.me is not None and got.me.name == asked.name:
+            self._trips.seen(at - asked.began)  # by way of a helper it would be our own wait, and feed upon itself
         if probe is None:
             return []
         self.health.change(-1)
--- a/bramblestile/fleet/telling.py
+++ b/bramblestile/fleet/telling.py
@@ -1,19 +1,22 @@
 """When a member's own figures are worth telling all the others. No I/O.
 
 Every telling reaches every member, so that what a member hears would grow with the fleet if each told at a fixed pace.
-Here the pace falls with the fleet's size: all members together tell ``ALL_PER_S`` times a second at most.
+Here the pace falls with the fleet's size: all members together tell ``ALL_PER_S`` times a second at most, and those
+that have started together drift apart.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from datetime import timedelta
+from random import Random
 
 from bramblestile.clock import NOTHING
 
 ALL_PER_S = 10.0
 SOONEST = timedelta(seconds=1)
 CHANGED = 1.25  # times more or less than was last told
+LEAST_HOLDS = timedelta(seconds=60)  # whoever starts thinks that the fleet is small, as all do that start together
 RENEWALS = 3  # within an entry's validity: two may go astray
 
 
@@ -21,8 +24,9 @@
 class Telling:
     """Of one figure."""
 
+    random: Random
     told: float | None = None
-    at: timedelta = NOTHING
+    next: timedelta = NOTHING  # no sooner, however it changes
     due: timedelta = NOTHING
 
     def wants(self, value: float, members: int, at: timedelta) -> timedelta | None:
@@ -31,8 +35,9 @@
         if self.told is not None:
             low, high = sorted((self.told, value))
             changed = high > low * CHANGED and high - low >= 1
-            if at - self.at < pace or not (changed or at >= self.due):
+            if at < self.next or not (changed or at >= self.due):
                 return None
-        holds = 4 * RENEWALS * pace
-        self.told, self.at, self.due = value, at, at + holds / RENEWALS
+        holds = max(LEAST_HOLDS, 4 * RENEWALS * pace)
+        self.told, self.next = value, at + pace * self.random.uniform(0.5, 1.5)
+        self.due = at + holds / RENEWALS * self.random.uniform(0.5, 1)
         return holds
--- a/bramblestile/lab/town.py
+++ b/bramblestile/lab/town.py
@@ -19,13 +19,19 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+from bramblestile.lab.faults import Between, Links
 from bramblestile.lab.record import Record
+from bramblestile.lab.streams import Stream
 from bramblestile.sockets import Address
 
 LONGEST_WAIT = 0.5  # seconds in the list's queue, then 503
 SAYS_EVERY = 2.0  # a client's line
 PAUSES = 0.06, 1.5  # seconds until a client that was sent away or cut comes again
 GIVES_UP = 1.8
+LIST, CLIENTS = "list", "clients"  # as faults on links name them
+DOOR_PORT = 10_000
+Reader = asyncio.StreamReader | Stream
+Writer = asyncio.StreamWriter | Stream
 LOOKS_EVERY = 0.1
 ASKS_EVERY = 0.1  # the front's PING, as the platform's page has it
 
@@ -49,8 +55,9 @@
     health: str = "in_service"
     taken: int = 0
     turned_away: int = 0
-    open: set[asyncio.StreamWriter] = field(default_factory=set)
+    open: set[Writer] = field(default_factory=set)
     server: asyncio.Server | None = None
+    doors: list[asyncio.Server] = field(default_factory=list)  # one for each balancer, where streams have faults
     over_since: float | None = None
     first_lines: list[float] = field(default_factory=list)  # when each OPEN came
 
@@ -79,10 +86,11 @@
 
 
 class Town:
-    """``fronts``: the balancers that a front would send to now, with their halls."""
+    """``fronts``: the balancers that a front would send to now, by address. ``doors``: for each balancer an address of
+    its own at which it finds the list and all servers, so that the links between them can have faults of ``links``."""
 
     def __init__(self, record: Record, hosts: list[Host], listed: Address | None = None, seed: int = 1,
-                 pace: float = 0.002) -> None:
+                 pace: float = 0.002, links: Links | None = None, doors: dict[str, str] | None = None) -> None:
         self.record = record
         self.hosts = {host.name: host for host in hosts}
         self.clients: list[Client] = []
@@ -92,11 +100,17 @@
         self.list_down = False
         self.calls = self.calls_refused = 0
         self._pace, self._listed = pace, listed
+        self._links, self._doors = links or Links(Random(0)), doors or {}
+        self._streams: set[Stream] = set()
+        self.names: dict[Address, str] = {}  # of the balancers, by where clients find them
+        self.waits: list[float] = []  # seconds from a client's first line to its UP
+        self.gaps: list[float] = []  # seconds without a connection, after a move or a cut
         self._random = Random(f"town {seed}")
         self._loop = asyncio.new_event_loop()
         self._news = asyncio.Event()
         self._waiting = 0
         self._list_server: asyncio.Server | None = None
+        self._list_doors: list[asyncio.Server] = []
         self._serving = asyncio.Lock()
         self._tasks: set[asyncio.Task[None]] = set()
         self._thread = threading.Thread(target=self._loop.run_forever, name="town", daemon=True)
@@ -109,8 +123,9 @@
 
     def stop(self) -> None:
         async def end() -> None:
-            if self._list_server is not None:
-                self._list_server.close()
+            for server in (self._list_server, *self._list_doors):
+                if server is not None:
+                    server.close()
             for host in self.hosts.values():
                 await self._down(host)
             tasks = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
@@ -136,6 +151,9 @@
             await self._up(host)
         if self._listed is not None:
             self._list_server = await asyncio.start_server(self._list, *self._listed, backlog=1024)
+        for name, address in self._doors.items():
+            self._list_doors.append(await asyncio.start_server(self._door(name, LIST, self._list), address,
+                                                               self._listed[1] if self._listed else 0, backlog=64))
         self._task(self._look())
 
     def ask_fronts(self) -> None:
@@ -164,13 +182,22 @@
         def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Any:
             return self._serve(host, reader, writer)
 
+        def serve_from(name: str) -> Any:
+            async def serve(reader: Reader, writer: Writer, _: str) -> None:
+                await self._serve(host, reader, writer)
+
+            return self._door(name, host.name, serve)
+
         host.server = await asyncio.start_server(serve, *host.address, backlog=512)
+        host.doors = [await asyncio.start_server(serve_from(name), address, self._door_port(host), backlog=64)
+                      for name, address in self._doors.items()]
         host.up, host.fallen, host.over_since = True, False, None
 
     async def _down(self, host: Host) -> None:
         host.up = False
-        if host.server is not None:
-            host.server.close()
+        for server in (host.server, *host.doors):
+            if server is not None:
+                server.close()
         for writer in list(host.open):
             writer.transport.abort()
         host.open.clear()
@@ -197,7 +224,29 @@
         self._news.set()
         self._news = asyncio.Event()
 
-    async def _serve(self, host: Host, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def _door_port(self, host: Host) -> int:
+        return DOOR_PORT + list(self.hosts).index(host.name)
+
+    def _door(self, far: str, near: str, serve: Callable[[Reader, Writer, str], Coroutine[Any, Any, None]]) -> Any:
+        """What serves a connection of one balancer over a link that may have faults."""
+        async def opened(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            stream = Stream(self._links, near, far, reader, writer)
+            self._streams.add(stream)
+            try:
+                await serve(stream, stream, far)
+            finally:
+                self._streams.discard(stream)
+
+        return opened
+
+    async def reset(self, between: Between) -> int:
+        """Ends all connections over these links with a reset; how many."""
+        ended = [s for s in self._streams if between(s.near, s.far) or between(s.far, s.near)]
+        for stream in ended:
+            stream.reset()
+        return len(ended)
+
+    async def _serve(self, host: Host, reader: Reader, writer: Writer) -> None:
         with suppress(ConnectionError, asyncio.IncompleteReadError, ValueError):
             while line := await reader.readline():
                 word = line.split(b" ", 1)[0].strip()
@@ -239,11 +288,14 @@
 
     # The list.
 
-    def rows(self) -> list[dict[str, Any]]:
-        return [{"host": h.name, "dial": "{}:{}".format(*h.address), "site": h.hall, "class": "m", "block": 1,
+    def rows(self, asker: str = "") -> list[dict[str, Any]]:
+        """As this balancer is told them."""
+        door = self._doors.get(asker)
+        return [{"host": h.name, "dial": "{}:{}".format(*(h.address if door is None else (door, self._door_port(h)))),
+                 "site": h.hall, "class": "m", "block": 1,
                  "health": h.health, "share": 1.0, "born_ms": int(h.born * 1000)} for h in self.hosts.values()]
 
-    async def _list(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _list(self, reader: Reader, writer: Writer, asker: str = "") -> None:
         with suppress(ConnectionError, asyncio.IncompleteReadError, ValueError, IndexError):
             call = await reader.readuntil(b"\r\n\r\n")
             asked = parse_qs(urlsplit(call.split(b" ")[1].decode()).query)
@@ -255,7 +307,8 @@
                     if time.time() >= until:
                         break
             served = await self._served()
-            body = json.dumps({"seq": self.version, "whole": True, "hosts": self.rows()}).encode() if served else b""
+            told = {"seq": self.version, "whole": True, "hosts": self.rows(asker)}
+            body = json.dumps(told).encode() if served else b""
             status = "200 OK" if served else "503 Service Unavailable"
             head = f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\nConnection: close\r\n\r\n"
             writer.write(head.encode() + body)
@@ -307,6 +360,11 @@
         """One connection from its first line to its end: how it ended, and after how long the balancer asks it back."""
         writer = None
         try:
+            began = time.time()
+            while self._links.silent(CLIENTS, self.names.get(front, "")):
+                if time.time() - began >= GIVES_UP:
+                    raise TimeoutError
+                await asyncio.sleep(LOOKS_EVERY)
             reader, writer = await asyncio.wait_for(asyncio.open_connection(*front), GIVES_UP)
             name = f"{self._random.getrandbits(64):016x}"
             writer.write(f"OPEN {name} {client.number:x} c=preview,t=vestland,d={GIVES_UP * 1000:.0f},"
@@ -314,6 +372,7 @@
             line = (await asyncio.wait_for(reader.readline(), GIVES_UP + 0.5)).split()
             if line[:1] != [b"UP"]:
                 return self._not_up(client, line)
+            self.waits.append(time.time() - began)
             self._is_up(client, line[1].decode().rpartition("-")[0])
             return await self._stay(client, reader, writer), None
         except (OSError, TimeoutError):
@@ -338,6 +397,7 @@
         client.up, client.host = True, host
         if client.since is not None:
             client.down += time.time() - client.since
+            self.gaps.append(time.time() - client.since)
             client.since = None
 
     async def _stay(self, client: Client, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> str:
--- a/bramblestile/work/foreman.py
+++ b/bramblestile/work/foreman.py
@@ -30,7 +30,7 @@
 from bramblestile.work.messages import Poll, Reply
 from bramblestile.work.order import LEFT_ALONE, ON_THE_WAY, OVER, PAGE, Machine, Order, Stage, Status
 from bramblestile.work.plan import BALANCER
-from bramblestile.work.planner import WARM, Fleet, choose, out_now, room_to_stay, to_claim, why_not
+from bramblestile.work.planner import WARM, Fleet, choose, is_full, out_now, to_claim, why_not
 
 UNHEARD = LEASE * (1 + 2 * DRIFT)  # from the last answer on: then the lease has run out
 LONG_UNHEARD = (LEASE + SILENT) * (1 + 2 * DRIFT)
@@ -215,8 +215,7 @@
             return keys.ahead_key(order.id, ahead)  # first: whoever is claimed has been announced
         if claimed:
             return keys.machine_key(order.id, claimed[0], Stage.CLAIMED, "", at // MICROSECOND)
-        still_to_go = sum(m.stage in (Stage.WAITING, Stage.CLAIMED) for m in order.machines.values())
-        self.full = bool(still_to_go) and room_to_stay(order, fleet) < away
+        self.full = is_full(order, fleet, away)
         chosen = choose(order, fleet, away)
         self.why = chosen.why
         if chosen.name is None:
--- a/bramblestile/work/office.py
+++ b/bramblestile/work/office.py
@@ -37,7 +37,8 @@
 from bramblestile.work.plan import BALANCER, PlanError, parse
 from bramblestile.work.planner import Seen, settle
 
-TICK = timedelta(milliseconds=25)
+TICK = timedelta(milliseconds=25)  # of a voter
+IDLE_TICK = timedelta(milliseconds=100)  # of all others, and between two looks at what our own leases have come to
 WAITING = 2048  # letters that nobody has read yet; later ones are lost, as datagrams are
 ROOM = 600  # bytes of entries in one letter between voters
 ELECTION = timedelta(milliseconds=1200)  # beyond a slow sync and a busy core; nothing waits but the next step of work
@@ -138,7 +139,7 @@
         self._managed_at = now()
         self._tidied_at = now()
         self._led = False
-        self._look_at = now()
+        self._look_at = self._bind_at = now()
         self._looked = 0
         gossip.on_load = self._letter_came
         self._thread = threading.Thread(target=self._run, name="work", daemon=True)
@@ -176,7 +177,7 @@
                 time.sleep(TICK.total_seconds())
 
     def _turn(self) -> None:
-        until = now() + TICK
+        until = now() + TICK if self.replica is not None else min(now() + IDLE_TICK, self.hand.due)
         while (left := until - now()) > NOTHING:
             try:
                 sender, payload = self._queue.get(timeout=left.total_seconds())
@@ -188,7 +189,9 @@
             self._mail(self.replica.tick(at))
             self._applied()
             self._lead(self.replica, at)
-        self._bind(at)
+        if at >= self._bind_at:
+            self._bind_at = at + IDLE_TICK
+            self._bind(at)
         if at >= self.hand.due:
             self._poll(at)
         self._take_calls(at)
@@ -209,7 +212,8 @@
         at = now()
         if isinstance(letter, Reply):
             self.first_word.set()
-            self.hand.hear(letter, at)
+            if self.hand.hear(letter, at):
+                self._bind_at = at
             self._keep()
         elif self.replica is None:
             return
--- a/bramblestile/work/planner.py
+++ b/bramblestile/work/planner.py
@@ -37,10 +37,10 @@
     votes: bool = False  # a balancer: it keeps the agreement
     leads: bool = False
 
-    @property
-    def room(self) -> float:
-        """For clients, by the time that those of a machine that leaves now come."""
-        return max(0.0, ROOM * self.capacity * (self.warmth if self.soon is None else self.soon) - self.load)
+    def room(self, now: bool = False) -> float:
+        """For clients now, or by the time that those of a machine that leaves now come."""
+        warmth = self.warmth if now or self.soon is None else self.soon
+        return max(0.0, ROOM * self.capacity * warmth - self.load)
 
 
 Fleet = Mapping[str, Seen]
@@ -194,10 +194,18 @@
     return f"no room yet for the clients of {name} where they may stay"
 
 
-def room_to_stay(order: Order, fleet: Fleet) -> float:
+def is_full(order: Order, fleet: Fleet, away: float) -> bool:
+    """Whether machines whose turn is still to come have to take some of the clients that come now."""
+    if not any(m.stage in (Stage.WAITING, Stage.CLAIMED) for m in order.machines.values()):
+        return False
+    leaving = sum(fleet[n].load for n, m in order.machines.items() if m.stage is Stage.LEAVING and n in fleet)
+    return room_to_stay(order, fleet, now=True) < away + leaving / 2
+
+
+def room_to_stay(order: Order, fleet: Fleet, now: bool = False) -> float:
     """For clients, with machines whose turn is over or never comes."""
     still_to_go = ON_THE_WAY - {Stage.BACK} | {Stage.WAITING, Stage.CLAIMED}
-    return sum(seen.room for n, seen in fleet.items() if seen.up and not seen.by_hand
+    return sum(seen.room(now) for n, seen in fleet.items() if seen.up and not seen.by_hand
                and (n not in order.machines or order.machines[n].stage not in still_to_go))
 
 
