--- a/benchmarks/work_order.py
+++ b/benchmarks/work_order.py
@@ -93,8 +93,8 @@
     given = parser.parse_args()
     settings = {"rules": SETTINGS["rules"] | {"cold_us": int(COLD_S * 1e6)}}
     with tempfile.TemporaryDirectory() as folder, Stage(
-            Path(folder), given.balancers, fleet={}, voters=3, servers=given.servers, settings=settings, slots=given.slots,
-            cold_s=COLD_S) as stage:
+            Path(folder), given.balancers, fleet={}, voters=3, servers=given.servers, settings=settings,
+            slots=given.slots, cold_s=COLD_S) as stage:
         stage.start()
         stage.agree(within=60 * S)
         town, work = town_of(stage), Worksite(stage, given.most, AWAY_S)
--- a/bramblestile/lab/working.py
+++ b/bramblestile/lab/working.py
@@ -11,6 +11,7 @@
 
 import heapq
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
@@ -25,7 +26,7 @@
 from bramblestile.work.hand import Hand
 from bramblestile.work.messages import Poll, Reply
 from bramblestile.work.order import ON_THE_WAY, OVER, Order, Stage, Status, load
-from bramblestile.work.plan import BALANCER, Asked, Limits
+from bramblestile.work.plan import BALANCER, Asked, Limits, PlanError
 from bramblestile.work.planner import Seen, settle
 
 SECOND = timedelta(seconds=1)
@@ -385,7 +386,11 @@
         limits = Limits(random.choice((1, 2, 3)), random.choice((0.5, 0.7)), random.random() < 0.5)
         self.loss = random.choice((0.0, 0.05))
         rolling = Random(f"kind {self.seed}").random() < 0.25 and len(self.voters) >= 3
-        self.begin("p1", limits, [BALANCER + name for name in self.names] if rolling else None)
+        for _ in range(20):  # refused while some of its balancers are not known to take part
+            with suppress(PlanError):
+                self.begin("p1", limits, [BALANCER + name for name in self.names] if rolling else None)
+                break
+            self.run(SECOND)
         for _ in range(faults):
             self.run(SECOND * random.uniform(0.1, 4))
             self._fault()
