Nothing leaves while a member of the fleet takes no part in the order of work

Cause: the leader waited for its roster alone; a living member of an older version, or without a work table, was in nobody's way and could send to a machine that was out. Change: while one lives nothing leaves, and nothing that leaves is said to be empty; an operator may name it a bystander. Messages of older and later versions are read as the fields they share.

--- a/bramblestile/lab/worksite.py
+++ b/bramblestile/lab/worksite.py
@@ -52,9 +52,9 @@
         return "\n".join(f"{key} = {json.dumps(value)}" for key, value in values.items()).encode()
 
     def ask(self, method: str, path: str, body: bytes = b"") -> tuple[int, str]:
-        """Of any balancer that answers; the first one's no is the answer."""
+        """Of any balancer that takes part and answers; the first one's no is the answer."""
         answer = 0, "nobody answers"
-        for name in reversed([n for n, p in self.stage.programs.items() if p.serves]):
+        for name in reversed([n for n, p in self.stage.programs.items() if p.serves and "work" in p.config]):
             answer = self.stage.call(name, method, "/v1/work" + path, body)
             if answer[0] not in (0, 503):
                 break
--- a/bramblestile/work/foreman.py
+++ b/bramblestile/work/foreman.py
@@ -66,6 +66,7 @@
     heard: dict[str, Heard] = field(default_factory=dict)
     told: dict[str, tuple[Stage, int, timedelta]] = field(default_factory=dict)  # stage, version, since when we know
     left: set[str] = field(default_factory=set)  # balancers that have left the fleet
+    outside: set[str] = field(default_factory=set)  # living members that are not in the roster: nobody can bind them
     finished: set[str] = field(default_factory=set)  # machines whose work is done, by the command or an operator
     entering: dict[str, str] = field(default_factory=dict)  # balancers, and what the roster is to say of them
     failed: dict[str, str] = field(default_factory=dict)  # machines whose work has failed, and why
@@ -149,6 +150,7 @@
             if name in order.roster and name not in self.left and (known is None or machine.name not in known.quiet):
                 found[name] = "has not confirmed"
             return found
+        found.update(dict.fromkeys(self.outside.difference(order.bystanders), "takes no part in the order of work"))
         for name, plan in order.roster.items():
             why = self._lacks(name, plan, machine, order, at)
             if why:
@@ -220,6 +222,10 @@
         self.why = chosen.why
         if chosen.name is None:
             return None
+        outside = sorted(self.outside.difference(order.bystanders))
+        if outside and not order.of_balancers:
+            self.why = f"{', '.join(outside[:3])} of the fleet take no part in the order of work"
+            return None
         if at < self.watched[1]:
             self.why = "the machines are being looked at"
             return None
--- a/bramblestile/work/office.py
+++ b/bramblestile/work/office.py
@@ -334,6 +334,8 @@
         foreman.apply(order, replica.applied, at)
         members = self._gossip.states()
         foreman.left = {name for name in order.roster if members.get(name) is State.LEFT}
+        foreman.outside = {name for name, state in members.items()
+                           if state <= State.SUSPECT and name not in order.roster}
         while not self._ended.empty():
             plan, machine, wrong = self._ended.get()
             self._working.pop(machine, None)
@@ -485,6 +487,10 @@
         if call.verb == "start" and (order.is_on or self._plan_keys):
             told = f"the plan {order.id} is {order.status}" if order.is_on else "a plan is being written"
             raise PlanError(f"{told}: one at a time")
+        outside = sorted(self.foreman.outside.difference(asked.bystanders))
+        if outside and not asked.of_balancers:
+            raise PlanError(f"bystanders: {', '.join(outside[:3])}: of the fleet, and no part in the order of work: "
+                            "nobody could keep it from sending there")
         names, tail = settle(asked, fleet)
         if call.verb == "plan":
             call.answer = 200, json.dumps({"order": names, "refuge": names[len(names) - tail:],
--- a/bramblestile/work/order.py
+++ b/bramblestile/work/order.py
@@ -88,6 +88,7 @@
     tail: int = 0
     machines: Mapping[str, Machine] = field(default_factory=dict)
     roster: Mapping[str, str] = field(default_factory=dict)  # balancers, and the plan that each has taken up
+    bystanders: tuple[str, ...] = ()
 
     @property
     def is_on(self) -> bool:
@@ -132,7 +133,8 @@
     limits = Limits(plan["most_out"], plan["least"], plan["apart"], timedelta(seconds=plan["limit_s"]))
     return Order(own, Status(status["status"]), plan["reason"], limits, tuple(plan["command"]), tuple(names),
                  ahead["rank"] if ahead.get("plan") == own else 0,
-                 floor["rank"] if floor.get("plan") == own else 0, plan["tail"], machines, _roster(values))
+                 floor["rank"] if floor.get("plan") == own else 0, plan["tail"], machines, _roster(values),
+                 tuple(plan.get("bystanders", ())))
 
 
 def _roster(values: Mapping[str, str]) -> dict[str, str]:
@@ -155,7 +157,7 @@
     yield PREFIX + "plan", _said({
         "id": id_, "reason": asked.reason, "command": asked.command, "pages": len(pages), "tail": tail,
         "most_out": limits.most_out, "least": limits.least, "apart": limits.apart,
-        "limit_s": limits.span.total_seconds()})
+        "limit_s": limits.span.total_seconds(), "bystanders": asked.bystanders})
     for number, page in enumerate(pages):
         yield f"{PREFIX}order/{number}", _said(page)
     yield status_key(id_, Status.RUNNING)
--- a/bramblestile/work/plan.py
+++ b/bramblestile/work/plan.py
@@ -33,12 +33,14 @@
 @dataclass(slots=True, frozen=True)
 class Asked:
     """As an operator writes it; the names of balancers begin with ``BALANCER``. ``command``: run once for each machine
-    when it is out, its name put in for ``{}``; none: an operator says when it is done."""
+    when it is out, its name put in for ``{}``; none: an operator says when it is done. ``bystanders``: members of the
+    fleet that take no part, and on the operator's word send nothing to these machines."""
 
     machines: tuple[str, ...]
     reason: str
     limits: Limits
     command: tuple[str, ...] = ()
+    bystanders: tuple[str, ...] = ()
 
     @property
     def of_balancers(self) -> bool:
@@ -53,7 +55,8 @@
 
 
 def read(values: Mapping[str, Any]) -> Asked:
-    known = {"machines", "balancers", "reason", "most_out", "least_capacity", "halls_apart", "limit_s", "command"}
+    known = {"machines", "balancers", "reason", "most_out", "least_capacity", "halls_apart", "limit_s", "command",
+             "bystanders"}
     for key in values:
         if key not in known:
             raise PlanError(f"{key}: no such key")
@@ -64,6 +67,9 @@
     command = _texts(values, "command") if "command" in values else ()
     if len("".join(command).encode()) > LONGEST_WORD:
         raise PlanError(f"command: more than {LONGEST_WORD} bytes")
+    bystanders = _texts(values, "bystanders") if "bystanders" in values else ()
+    if len("".join(bystanders).encode()) > LONGEST_WORD:
+        raise PlanError(f"bystanders: more than {LONGEST_WORD} bytes")
     apart = values.get("halls_apart", True)
     if not isinstance(apart, bool):
         raise PlanError(f"halls_apart: {apart!r} is neither true nor false")
@@ -72,7 +78,7 @@
         raise PlanError(f"most_out: {most!r} is not a whole number")
     limits = Limits(int(most), _number(values, "least_capacity", 0.75, 0, 1), apart,
                     timedelta(seconds=_number(values, "limit_s", 600, 1, 86_400)))
-    return Asked(machines, reason, limits, command)
+    return Asked(machines, reason, limits, command, bystanders)
 
 
 def _machines(values: Mapping[str, Any]) -> tuple[str, ...]:
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from datetime import timedelta
 
+import msgspec
 import pytest
 from msgspec import structs
 
@@ -15,7 +16,7 @@
 from bramblestile.work import messages, planner
 from bramblestile.work import order as keys
 from bramblestile.work.foreman import Foreman, Heard, Proposal
-from bramblestile.work.hand import LEASE, SILENT, Hand
+from bramblestile.work.hand import LEASE, POLL_EVERY, SILENT, Hand
 from bramblestile.work.messages import Poll, Reply
 from bramblestile.work.order import Machine, Order, Stage, Status
 from bramblestile.work.plan import Asked, Limits, PlanError, parse
@@ -38,6 +39,7 @@
     (PLAN + "halls_apart = 1", "halls_apart"), (PLAN + "limit_s = 0", "limit_s"), (PLAN + "colour = 1", "colour"),
     (PLAN + "command = 'reboot'", "command"), ('machines = ["m0"]\nreason = ""', "reason"),
     (PLAN.replace("m1", "m" * 65), "machines"), (PLAN.replace("m1", "@b1"), "machines"),
+    (PLAN + "bystanders = 1", "bystanders"),
     (PLAN + 'balancers = ["b1"]', "balancers: not in one plan"), ('balancers = ["a", "a"]', "balancers: a: named")])
 def test_a_plan_that_makes_no_sense_is_refused_by_its_key(text: str, names: str) -> None:
     with pytest.raises(PlanError, match=names):
@@ -178,6 +180,28 @@
     assert got.lease_ms == 3000 and proposal == keys.roster_key("b5", "p1")
 
 
+def test_words_of_an_older_and_of_a_later_version_are_understood() -> None:
+    older = msgspec.msgpack.encode(["b1", 7, 99])
+    later = msgspec.msgpack.encode(["b1", 7, 99, 0, 0, "", 0, [], {}, 0, 0, [], True, "of a later version", 3])
+    assert messages.decoded(b"q" + older) == Poll("b1", 7, 99) == messages.decoded(b"q" + later)
+    told = msgspec.msgpack.encode(["b0", 7, 1, 5, 99, 3000, "p1", "running"])
+    hand = Hand("b1", 7)
+    got = messages.decoded(b"a" + told)
+    assert isinstance(got, Reply) and hand.hear(got, S) and hand.every == POLL_EVERY and not hand.full
+
+
+def test_nothing_leaves_while_one_of_the_fleet_takes_no_part() -> None:
+    foreman, now = Foreman("b0"), replace(order(m0=Stage.LEAVING), roster={"b0": "p1"})
+    foreman.lead(1, S)
+    foreman.apply(now, 10, S)
+    foreman.heard["b0"] = Heard(S, 1, 10, "p1", 8, frozenset(["m0"]))
+    assert not foreman.lacks(now.machines["m0"], now, S)
+    foreman.outside = {"old"}
+    assert foreman.lacks(now.machines["m0"], now, S) == {"old": "takes no part in the order of work"}
+    assert foreman.step(replace(now, ahead=8, floor=8), FLEET, 9 * S) is None and "old of the fleet" in foreman.why
+    assert not foreman.lacks(now.machines["m0"], replace(now, bystanders=("old",)), S)
+
+
 @pytest.mark.parametrize("raw", [b"", b"x", b"q\x90", b"a\xc1", b"q" + b"\x91" * 2000])
 def test_what_is_neither_poll_nor_answer(raw: bytes) -> None:
     with pytest.raises(ValueError):
--- a/tests/test_work_processes.py
+++ b/tests/test_work_processes.py
@@ -219,6 +219,44 @@
     assert work.ended() == {"dropped": 2}
 
 
+def without_work(stage: Stage, name: str) -> None:
+    """As one of an older version, or one that is set up wrongly: it is of the fleet, and sends where it likes."""
+    program = stage.programs[name]
+    program.kill()
+    del program.config["work"]
+
+
+def test_nothing_leaves_while_a_member_takes_no_part(site: Site) -> None:
+    stage, work = site
+    two = list(town_of(stage).hosts)[:2]
+    without_work(stage, "b006")
+    work.say("/forget/b006")
+    stage.programs["b006"].start()
+    work.wait(lambda: "b006" not in work.shown["roster"], 10)
+    stage.agree()
+    status, said = work.ask("PUT", "/start", work.plan(two))
+    assert status == 409 and "bystanders: b006" in said
+    work.begin(two, bystanders=["b006"], limit_s=60)
+    assert work.ended() == {"done": 2}
+
+
+def test_a_member_that_takes_no_part_comes_while_machines_leave(site: Site) -> None:
+    stage, work = site
+    without_work(stage, "b006")
+    work.say("/forget/b006")
+    stage.agree()
+    work.begin(list(town_of(stage).hosts)[:3], limit_s=60)
+    work.until("out")
+    stage.programs["b006"].start()
+    work.wait(lambda: "b006 of the fleet take no part" in work.shown["why_none"], 20)
+    began = len(work.seen)
+    at = stage.record.now()
+    stage.wait(lambda: stage.record.now() - at > 3, 10 * S)
+    assert not any(seen in ("leaving", "out") for _, _, seen in work.seen[began:])
+    stage.programs["b006"].kill()
+    assert work.ended() == {"done": 3}
+
+
 def rolling(stage: Stage, work: Worksite) -> dict[str, int]:
     """All balancers are machines of a plan; their processes before."""
     town_of(stage).ask_fronts()
