Membership: slow answers are remembered for a second, and probes keep their pace under strain

Change: what is remembered fades by half in a second, 320 ms at most; suspicions alone last longer by it; gossip slows down with own lateness. Balancers whose polls nobody answers ask as seldom as without a plan.

--- a/bramblestile/fleet/gossip.py
+++ b/bramblestile/fleet/gossip.py
@@ -151,12 +151,14 @@
                                  {"by": sorted(known.suspicion.accusers)} if known.suspicion else {}))
             figures = {key: m.board.all(key, at) for key in ("traffic",)}
             health, holder, counts = m.health.score, m.holder, dict(m.counts)
+            slow = {"trip_ms": milliseconds(m.trips.usual), "trip_bound_ms": milliseconds(m.trips.bound),
+                    "late_ms": milliseconds(m.late), "news": len(m.rumours)}
         for row in rows:
             for key, told in figures.items():
                 if row["name"] in told:
                     row[key] = _figure(told[row["name"]])
         return {"me": m.me.name, "muted_by": None if holder is None else f"{holder.host}:{holder.port}",
-                "health": health, "counts": counts, "members": sorted(rows, key=lambda row: str(row["name"]))}
+                "health": health, "counts": counts, **slow, "members": sorted(rows, key=lambda row: str(row["name"]))}
 
     # The thread.
 
--- a/bramblestile/fleet/members.py
+++ b/bramblestile/fleet/members.py
@@ -9,7 +9,7 @@
   another's "dead" is an accusation like any other. So the word of one who is starved of CPU harms nobody.
 - A step that comes late shows that we ourselves did not run: what fell due meanwhile is no verdict, and every
   suspicion waits that much longer.
-- Waits follow the trips there and back as they are, and who runs late, or sees them long, passes news on less often.
+- A suspicion lasts the longer, the longer answers take, and who runs late passes news on less often.
   Seen with 120 processes on 8 cores: news of all at once made all late, the late were suspected, suspicions are news,
   and what had begun with a burst went on by itself for good.
 
@@ -47,6 +47,7 @@
 
 MOST = 4096  # members that are known at once, dead ones among them
 LATEST = timedelta(seconds=3)  # an answer tells of its trip
+AWAY_AGAIN = timedelta(milliseconds=300)
 LATE_OVER = 10  # steps over which lateness is remembered
 SECOND_OPINIONS = 3  # expected, in the whole fleet, for each suspicion
 Address = tuple[str, int]
@@ -72,7 +73,7 @@
     retry: timedelta = 1000 * _MS  # one dead member or seed is asked again: a split heals by it
     forget: timedelta = timedelta(minutes=10)
     lag: timedelta = 150 * _MS  # a step that comes so late was not ours to take in time
-    strain: float = 10.0  # times its usual lateness is the least between two rounds of a member's gossip
+    strain: float = 4.0  # times its usual lateness is the least between two rounds of a member's gossip
 
 
 @dataclass(slots=True)
@@ -167,7 +168,7 @@
         self.changes: list[Change] = []
         self.holder: Fact | None = None  # who else holds our name; while there is one we only listen
         self.counts = {"probes": 0, "failed": 0, "accused": 0, "refuted": 0, "late": 0, "refused": 0}
-        self._rumours = Rumours()
+        self.rumours = Rumours()
         self._living = _Roster()  # of others
         self._suspects: dict[str, Known] = {}
         self._buckets: list[set[str]] = [set() for _ in range(BUCKETS)]
@@ -179,8 +180,9 @@
         self._number = random.getrandbits(24)
         self._last = at
         self._wanted = at
-        self._late = NOTHING  # how late our steps usually are
-        self._trips = Trips()
+        self._away_at = NOTHING  # when we last compared notes for having been away
+        self.late = NOTHING  # how late our steps usually are
+        self.trips = Trips()
         self._ended: dict[int, _Probe] = {}  # those that failed: a late answer tells of its trip
         self._probe_at = at + self.pace.period * random.random()
         self._gossip_at = at
@@ -188,7 +190,7 @@
         self._retry_at = at
         self._tidy_at = at + self.pace.sync
         self._mark(me)
-        self._rumours.add(me)
+        self.rumours.add(me)
 
     # What others see.
 
@@ -206,7 +208,7 @@
         self._version = version
         entry = Entry(self.me.name, key, version, value, for_ // _MS)
         if self.board.hear(entry, at):
-            self._rumours.add(entry)
+            self.rumours.add(entry)
 
     _version = 0
 
@@ -224,7 +226,7 @@
     def _due_to_others(self) -> list[timedelta]:
         """What only one who may speak does."""
         times = [self._probe_at]
-        if len(self._rumours):
+        if len(self.rumours):
             times.append(self._gossip_at)
         for probe in self._probes.values():
             times.append(self._answer_by(probe) if not probe.asked else self._failed_at(probe))
@@ -235,7 +237,7 @@
     def step(self, at: timedelta) -> list[Out]:
         """To be called after all that has arrived was heard."""
         late = at - self._wanted if at > self._wanted else NOTHING
-        self._late += (late - self._late) / LATE_OVER
+        self.late += (late - self.late) / LATE_OVER
         if late >= self.pace.lag:
             self._was_away(at - self._last if self._last > self._wanted else late, at)
         self._last = at
@@ -244,10 +246,10 @@
         if self.holder is None:
             out += self._probe(at)
             self._judge(at, out)
-        if at >= self._gossip_at and len(self._rumours) and self.holder is None:
-            self._gossip_at = at + max(self.pace.gossip, self._late * self.pace.strain, self._trips.bound / 2)
+        if at >= self._gossip_at and len(self.rumours) and self.holder is None:
+            self._gossip_at = at + max(self.pace.gossip, self.late * self.pace.strain)
             out += [(self._address(f), self._message(Kind.GOSSIP, at=at)) for f in self._some(self.pace.fanout)
-                    if len(self._rumours)]
+                    if len(self.rumours)]
         if at >= self._sync_at:
             self._sync_at = at + self.pace.sync * (0.75 + self.random.random() / 2)
             out += self._digest(at)
@@ -269,7 +271,8 @@
                 known.suspicion.postponed += gap
         # We cannot have answered meanwhile: others may suspect us, and a word from us ends that soonest.
         self._gossip_at = at
-        self._sync_at = min(self._sync_at, at + self.pace.catch_up + self._late * self.pace.strain)
+        if at >= self._away_at + AWAY_AGAIN:  # not at each of many late steps: that would make the next one late
+            self._away_at = self._sync_at = at
 
     def leave(self, at: timedelta) -> list[Out]:
         """The last word: told to several at once, they pass it on."""
@@ -281,17 +284,17 @@
     # Probes.
 
     def _answer_by(self, probe: _Probe) -> timedelta:
-        return probe.began + self.health.stretched(self.pace.answer * self._slow())
+        return probe.began + self.health.stretched(self.pace.answer)
 
     def _failed_at(self, probe: _Probe) -> timedelta:
         return probe.began + self._period()
 
     def _period(self) -> timedelta:
-        return self.health.stretched(self.pace.period * self._slow())
+        return self.health.stretched(self.pace.period)
 
     def _slow(self) -> float:
         """How many times longer answers take than the pace allows for."""
-        return max(1.0, self._trips.bound / self.pace.answer)
+        return max(1.0, self.trips.bound / self.pace.answer)
 
     def _probe(self, at: timedelta) -> list[Out]:
         out: list[Out] = []
@@ -372,7 +375,7 @@
             return False
         self.counts["accused"] += 1
         known.fact = msgspec.structs.replace(known.fact, by=by)
-        self._rumours.add(known.fact)
+        self.rumours.add(known.fact)
         return True
 
     def _judge(self, at: timedelta, out: list[Out]) -> None:
@@ -386,7 +389,7 @@
                 continue
             by = tuple(sorted(suspicion.accusers))
             self._set(known, known.fact, State.DEAD, at, by[0], by)
-            self._rumours.add(known.fact)
+            self.rumours.add(known.fact)
 
     def _try_the_lost(self, at: timedelta) -> list[Out]:
         """A dead one or a seed that is not among the living: where a split has healed, this finds it."""
@@ -415,7 +418,7 @@
                 self._version = max(self._version, entry.version)  # of a life before this one: ours must be newer
             elif self.board.hear(entry, at):
                 news += 1
-                self._rumours.add(entry)
+                self.rumours.add(entry)
         if self.holder is not None and got.kind != Kind.PAGE:
             return []
         match got.kind:
@@ -443,7 +446,7 @@
         probe = self._probes.pop(got.number, None)
         asked = probe or self._ended.pop(got.number, None)
         if asked is not None and got.me is not None and got.me.name == asked.name:
-            self._trips.seen(at - asked.began)  # by way of a helper it would be our own wait, and feed upon itself
+            self.trips.seen(at - asked.began, at)  # by way of a helper it would be our own wait, and feed upon itself
         if probe is None:
             return []
         self.health.change(-1)
@@ -477,7 +480,7 @@
             self._store(known, base)
             self.changes.append(Change(fact.name, None, known.state))
             if fact.state == State.ALIVE:
-                self._rumours.add(base)
+                self.rumours.add(base)
         elif fact.age > known.fact.age:
             self._take_newer(known, fact, at)
             if fact.state == State.ALIVE:
@@ -488,7 +491,7 @@
             if known.state is not State.LEFT:
                 known.suspicion = None
                 self._set(known, known.fact, State.LEFT, at)
-            self._rumours.add(known.fact) if known.since == at else None
+            self.rumours.add(known.fact) if known.since == at else None
             return known.since == at
         if fact.state == State.ALIVE or not known.lives:
             return known.since == at
@@ -511,7 +514,7 @@
             return
         self._set(known, fact, State.ALIVE, at)
         if fact.state == State.ALIVE:
-            self._rumours.add(known.fact)
+            self.rumours.add(known.fact)
 
     def _hear_of_me(self, fact: Fact) -> bool:
         if fact.life != self.me.life:
@@ -521,6 +524,7 @@
         self.counts["refuted"] += 1
         self.health.change(1)
         self._become(msgspec.structs.replace(self.me, turn=fact.turn + 1))
+        self._gossip_at = self._last  # however late we run, this must not wait
         return True
 
     def _hear_of_namesake(self, fact: Fact) -> bool:
@@ -563,7 +567,7 @@
         self._mark(self.me)
         self.me = me
         self._mark(me)
-        self._rumours.add(me)
+        self.rumours.add(me)
 
     def _on_digest(self, got: Message, source: Address, at: timedelta) -> list[Out]:
         mine, theirs = self._summary(), got.digest
@@ -619,10 +623,10 @@
                  digest: bytes = b"", news: bool = True, at: timedelta) -> Message:
         """With as much news as there is room for."""
         me = self.me if self.holder is None else None
-        if not news or me is None or not len(self._rumours):
+        if not news or me is None or not len(self.rumours):
             return Message(kind, me, number, about, facts, (), digest)
         used = self._frame() + sum(len(encoded(f)) for f in (*facts, *([about] if about else [])))
-        picked = self._rumours.pick(LARGEST - used, self.size)[:MOST_FACTS - 1]
+        picked = self.rumours.pick(LARGEST - used, self.size)[:MOST_FACTS - 1]
         told = tuple(i for i in picked if isinstance(i, Fact))
         entries = tuple(e for i in picked if isinstance(i, Entry) and (e := self.board.left(i, at)) is not None)
         return Message(kind, me, number, about, facts + told, entries, digest)
--- a/bramblestile/fleet/trips.py
+++ b/bramblestile/fleet/trips.py
@@ -7,7 +7,8 @@
 
 from bramblestile.clock import NOTHING
 
-LONGEST = timedelta(seconds=1)  # a bound beyond this would hide the dead
+LONGEST = timedelta(milliseconds=320)  # a bound beyond this would hide the dead
+HALF_LIFE = timedelta(seconds=1)  # of what is remembered: slow probes are few, and must not be remembered the longer
 
 
 @dataclass(slots=True)
@@ -17,11 +18,15 @@
 
     usual: timedelta = NOTHING
     varies: timedelta = NOTHING
+    at: timedelta = NOTHING  # when the last one came
 
-    def seen(self, span: timedelta) -> None:
+    def seen(self, span: timedelta, at: timedelta) -> None:
+        span = min(span, LONGEST)
+        faded = 1 - 0.5 ** (max(NOTHING, at - self.at) / HALF_LIFE)
         off = abs(span - self.usual)
-        self.usual += (span - self.usual) / 8
-        self.varies += (off - self.varies) / 4
+        self.usual += (span - self.usual) * max(1 / 8, faded)
+        self.varies += (off - self.varies) * max(1 / 4, faded)
+        self.at = at
 
     @property
     def bound(self) -> timedelta:
--- a/bramblestile/work/hand.py
+++ b/bramblestile/work/hand.py
@@ -66,6 +66,8 @@
     def poll(self, at: timedelta, quiet: Iterable[str], standing: Mapping[str, int], ready: bool = True) -> Poll:
         """``quiet``: of those left alone, where no send of ours is still going on, ourselves once we send our clients
         away; ``standing``: our connections. ``ready``: we would serve."""
+        if self.heard_of(at) != "bound":
+            self.every = POLL_EVERY  # nobody answers, or no plan is on: hundreds must not press on who is left
         self.due = at + self.every
         return Poll(self.name, self.life, at // MICROSECOND, self.term, self.seen, self.plan, self.ahead,
                     tuple(q for q in quiet if q in self.alone),
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -149,6 +149,17 @@
     assert allowed(hand, 200 * S) == "m0 m1 m2 m3 x"
 
 
+def test_who_is_not_answered_asks_no_more_often_than_without_a_plan() -> None:
+    hand = Hand("b1", 7)
+    hand.hear(reply(hand, 5, S, poll_ms=200), S)
+    for at, every in ((S, S / 5), (S + LEASE * 0.9, S / 5), (S + LEASE, POLL_EVERY), (60 * S, POLL_EVERY)):
+        hand.poll(at, (), {})
+        assert hand.due == at + every
+    hand.hear(reply(hand, 6, 60 * S, poll_ms=200), 60 * S)
+    hand.poll(60 * S, (), {})
+    assert hand.due == 60 * S + S / 5
+
+
 def test_whom_the_leader_waits_for() -> None:
     foreman = Foreman("b0")
     foreman.lead(1, 100 * S)
