Membership: probes slow down where answers are slow as a rule, not for a few starved members

Cause: without any slowing, 120 processes on 8 cores whose views were asked for all the time were not of one mind within 60 s. Change: probes follow twice the usual answer, not its outliers.

--- a/bramblestile/fleet/members.py
+++ b/bramblestile/fleet/members.py
@@ -284,13 +284,17 @@
     # Probes.
 
     def _answer_by(self, probe: _Probe) -> timedelta:
-        return probe.began + self.health.stretched(self.pace.answer)
+        return probe.began + self.health.stretched(self.pace.answer * self._strained())
 
     def _failed_at(self, probe: _Probe) -> timedelta:
         return probe.began + self._period()
 
     def _period(self) -> timedelta:
-        return self.health.stretched(self.pace.period)
+        return self.health.stretched(self.pace.period * self._strained())
+
+    def _strained(self) -> float:
+        """Of probes: where answers are slow as a rule. A few starved ones must not slow the probes that clear them."""
+        return max(1.0, 2 * self.trips.usual / self.pace.answer)
 
     def _slow(self) -> float:
         """How many times longer answers take than the pace allows for."""
