--- a/bramblestile/cli/lab.py
+++ b/bramblestile/cli/lab.py
@@ -51,4 +51,3 @@
     if played.wrong:
         raise Failed(f"{made.name}: " + "; ".join(played.wrong))
     click.echo(f"{made.name}: all held")
-
--- a/bramblestile/fleet/members.py
+++ b/bramblestile/fleet/members.py
@@ -47,7 +47,7 @@
 
 MOST = 4096  # members that are known at once, dead ones among them
 LATEST = timedelta(seconds=3)  # an answer tells of its trip
-AWAY_AGAIN = timedelta(milliseconds=300)
+AWAY_AGAIN = timedelta(milliseconds=300)  # between two comparisons of notes for having been away
 LATE_OVER = 10  # steps over which lateness is remembered
 SECOND_OPINIONS = 3  # expected, in the whole fleet, for each suspicion
 Address = tuple[str, int]
--- a/bramblestile/lab/working.py
+++ b/bramblestile/lab/working.py
@@ -250,7 +250,7 @@
             if machine.stage is Stage.OUT and order.is_on and machine.name not in process.working:
                 process.working.add(machine.name)
                 self._command(process, machine.name, replica.term)
-        proposal = foreman.step(order, self._seen(process, order, at), at)
+        proposal = foreman.step(order, self._seen(process, order.of_balancers, order, at), at)
         if proposal is not None:
             self._propose(process, replica, proposal, at)
         if foreman.hands_over:
@@ -271,10 +271,10 @@
 
         self.after(SECOND * self.random.uniform(0.2, 2), done)
 
-    def _seen(self, process: Process, order: Order, at: timedelta) -> dict[str, Seen]:
-        return self._balancers(process, order, at) if order.of_balancers else self.fleet(order)
-
-    def _balancers(self, process: Process, order: Order, at: timedelta) -> dict[str, Seen]:
+    def _seen(self, process: Process, of_balancers: bool, order: Order, at: timedelta) -> dict[str, Seen]:
+        """What a plan may name, as this leader sees it."""
+        if not of_balancers:
+            return self.fleet(order)
         assert process.foreman is not None
         return {BALANCER + name: Seen(f"hall-{int(name[1:]) % 2}", votes=name in self.voters,
                                       leads=name == process.name, up=process.foreman.serves(name, at))
@@ -301,9 +301,7 @@
         if leader is None or leader.replica is None or self._order(leader).is_on:
             return
         asked = Asked(tuple(machines or self.machines), "test", limits)
-        fleet = self.fleet(Order())
-        if asked.of_balancers:
-            fleet = self._balancers(leader, self._order(leader), self.clock(leader))
+        fleet = self._seen(leader, asked.of_balancers, self._order(leader), self.clock(leader))
         names, tail = settle(asked, fleet)
         leader.plan_keys = list(keys.begin(id_, asked, names, tail, leader.replica.values))
 
--- a/bramblestile/work/office.py
+++ b/bramblestile/work/office.py
@@ -355,8 +355,7 @@
         if at_once:
             return
         self._command(order)
-        fleet = self._balancers(order, members, at) if order.of_balancers else self._fleet()
-        step = foreman.step(order, fleet, at) or self._tidy(order, members, at)
+        step = foreman.step(order, self._machines(order.of_balancers, order, at), at) or self._tidy(order, members, at)
         if foreman.hands_over:
             self._mail(replica.hand_over(at))
         if step is not None:
@@ -375,9 +374,11 @@
         return {name: replace(seen, by_hand=True) if name in by_hand else seen
                 for name, seen in self._balancer.seen().items()}
 
-    def _balancers(self, order: Order, members: Mapping[str, State], at: timedelta) -> dict[str, Seen]:
-        """Those that take part, as machines."""
-        halls = self._gossip.halls()
+    def _machines(self, of_balancers: bool, order: Order, at: timedelta) -> dict[str, Seen]:
+        """What a plan may name: image servers, or the balancers that take part."""
+        if not of_balancers:
+            return self._fleet()
+        halls, members = self._gossip.halls(), self._gossip.states()
         return {BALANCER + name: Seen(halls.get(name, ""), votes=name in self.voters, leads=name == self.name,
                                       up=members.get(name) is State.ALIVE and self.foreman.serves(name, at))
                 for name in order.roster}
@@ -483,7 +484,7 @@
 
     def _begin(self, call: Asked, order: Order, replica: Replica, at: timedelta) -> None:
         asked = parse(call.text)
-        fleet = self._balancers(order, self._gossip.states(), at) if asked.of_balancers else self._fleet()
+        fleet = self._machines(asked.of_balancers, order, at)
         if call.verb == "start" and (order.is_on or self._plan_keys):
             told = f"the plan {order.id} is {order.status}" if order.is_on else "a plan is being written"
             raise PlanError(f"{told}: one at a time")
--- a/bramblestile/work/planner.py
+++ b/bramblestile/work/planner.py
@@ -123,7 +123,7 @@
         reason = (not_yet(name, order, fleet) or why_not(name, order, fleet, missing)
                   or too_full(name, fleet, missing, away) or no_room(name, order, fleet, away))
         if not reason:
-            return Choice(machine.name)
+            return Choice(name)
         why = why or reason
     return Choice(None, why)
 
