--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Three balancers are restarted (SIGTERM) while half of the image servers hang: is every request answered?"""
+"""Six balancers are restarted (SIGTERM) while half of the image servers hang: is every request answered?"""
 
 from __future__ import annotations
 
@@ -32,8 +32,8 @@
 def case(record: Record, folder: Path, balancers: list[Balancer]) -> str:
     servers = [ImageServer(f"s-{index}", record, cell=1 + index // 2) for index in range(4)]
     discovery = Discovery(servers, record)
-    edge_settings = settings([request_class(CLASS, 800, DEADLINE_MS, effect="keyed", dedup_scope="cell")], balancers=3)
-    for index in range(3):
+    edge_settings = settings([request_class(CLASS, 800, DEADLINE_MS, effect="keyed", dedup_scope="cell")], balancers=6)
+    for index in range(6):
         config = {
             "name": f"n{index}",
             "listen": f"127.0.0.1:{free_port()}",
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -171,7 +171,11 @@
         if self.mode == "drain":
             self._note(first_byte, line, "BUSY")
             sock.sendall(b"BUSY\r\n")
-            return
+        else:
+            self.serve(sock, lines, first_byte, line)
+
+    def serve(self, sock: socket.socket, lines: Any, first_byte: float, line: str) -> None:
+        """Accept the connection and answer each line at once until the balancer ends it."""
         self._note(first_byte, line, "UP")
         sock.sendall(f"UP {self.name}-{line.split(' ')[1]}\r\n".encode())
         while data := lines.readline():
