Review, case 2: measure how late the connection is, and send more first attempts to the other server

Change: the test dials the late server itself and exits with 2 unless that took 0.5 to 1.5 s; the late server is smaller.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,6 +16,7 @@
     SLACK,
     TROUBLE,
     Balancer,
+    CannotRunError,
     Client,
     Discovery,
     ImageServer,
@@ -27,6 +28,7 @@
 )
 
 WINDOW = 1.0  # memory_span_us: image servers know a keyed request again for so long
+MOST_LATE = 1.5  # how late a connection may come up
 SET_UP = 0.4  # what an edit takes at an image server, well within its aim of 1 s
 
 
@@ -70,7 +72,7 @@
 
 def case(record: Record, folder: Path, balancers: list[Balancer]) -> str:
     effects = Effects(record)
-    big, small = Editor("s-big", record, effects, 1.0), Editor("s-small", record, effects, 0.25)
+    big, small = Editor("s-big", record, effects, 1.0), Editor("s-small", record, effects, 0.1)
     servers: list[ImageServer] = [big, small]
     discovery = Discovery(servers, record)
     edge_settings = settings(
@@ -114,6 +116,8 @@
     for client in clients:
         client.done.wait(8)
     time.sleep(0.5)
+    if TROUBLE and not WINDOW / 2 < small.late_by <= MOST_LATE:
+        raise CannotRunError(f"the connections came up after {small.late_by:.3f} s")
     return "" if not effects.ran_twice else "requests that ran twice: " + "; ".join(effects.ran_twice)
 
 
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -92,6 +92,7 @@
         self.born_ms = 0
         self.listening = listen()
         self.dial = address_of(self.listening)
+        self.late_by = 0.0  # how late a connection came up after ``block``, as the test saw it
         self._may_accept = threading.Event()
         self._may_accept.set()
         self.opens: list[tuple[float, str, str]] = []  # time of the first byte, request id, what it answered
@@ -127,7 +128,14 @@
             self._may_accept.set()
             filler.close()
 
+        def dial() -> None:
+            dialled_at = clock()
+            socket.create_connection(self.listening.getsockname()).close()
+            self.late_by = clock() - dialled_at
+            self.record.add(f"server {self.name}: a connection of the test came up after {self.late_by:.3f} s")
+
         spawn(unblock)
+        spawn(dial)
 
     def _accept(self) -> None:
         while True:
