tests/run passes over exactly the tests that KNOWN-RED.txt names, and prints them

Change: tests/known_red.py parses the file; a malformed entry, or one that names a test that does not exist, ends the check. tests/pass_over.py marks the named tests alone, by their whole ids, and prints their entries after each run; tests/run prints all entries first. An id without parameters stands for all parameters of that test, no pattern is taken.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,8 @@
 
 from tests.scenario import Scenario
 
+pytest_plugins = ["tests.pass_over", "pytester"]
+
 
 @pytest.fixture(autouse=True)
 def stop_scenarios() -> Iterator[None]:
