A planned restart answers every request before the process ends

Cause: the process ends 0.6 s after the longest deadline, 3 s at most, and nothing related that end to the requests. A thread waited for its host (TCP connect, TLS handshake, INFO, answer) or for a decision until its client's deadline, and os._exit closed the client's connection under it. Every class, bound connections and unfinished first lines were exposed.

Evidence: a balancer's exit counters showed 13 requests, 11 served and 1 failed; the hosts' record shows the missing request's fourth attempt out at the exit, and its client closed 3.61 s after SIGTERM, with the process.

Change: 0.2 s before the exit the module gets Shutdown and gives up what waits without an attempt; one signal (sockets.Signal, a pipe that all waits for a host poll) ends every attempt's wait as the end of its time would, and the module refuses or fails by what the attempts prove. Pending connections get BUSY. A request that the module lost track of fails. The exit waits for the answers and the last moves, up to 80 ms past its time. Counters unanswered_at_exit and given_up_shutdown are new. The connect is the program's own, so that the signal can end it. Local replies and the close after them are two steps, so that "answered" means written.

--- a/benchmarks/tls_cost.py
+++ b/benchmarks/tls_cost.py
@@ -28,6 +28,7 @@
 from bramblestile.clock import now
 from bramblestile.memory.cluster import UpstreamHost
 from bramblestile.memory.counters import Counters
+from bramblestile.protocol import AttemptLimits
 from bramblestile.tls import Dialer
 from bramblestile.tls.budget import HandshakeRates
 from bramblestile.tls.dialer import DialerConfig
@@ -86,7 +87,11 @@
 def connect(dialer: Dialer | None, target: HostThread | UpstreamHost) -> sockets.Transport:
     """Open a connection and read the host's first line; plain TCP without a dialer."""
     host = target.host if isinstance(target, HostThread) else target
-    sock = sockets.dial(host.address, TIMEOUT) if dialer is None else dialer.dial(host, TIMEOUT, now() + TIMEOUT)
+    sock = (
+        sockets.dial(host.address, TIMEOUT)
+        if dialer is None
+        else dialer.dial(host, AttemptLimits(now() + TIMEOUT, TIMEOUT))
+    )
     assert sockets.LineReader(sock, 64).line(TIMEOUT) is not None
     if isinstance(sock, sockets.Channel):
         sock.setblocking(True)
--- a/bramblestile/life.py
+++ b/bramblestile/life.py
@@ -15,7 +15,15 @@
 from bramblestile.memory.connections import ConnectionObserver, Connections, PauseSignal, ProxiedConnection
 from bramblestile.memory.counters import Counters
 from bramblestile.memory.decisions import ActiveRequest, Decisions, from_microseconds, to_microseconds
-from bramblestile.protocol import ClientRequest, DialHost, Downstream, NotEstablished, UpstreamAnswer
+from bramblestile.protocol import (
+    AttemptLimits,
+    ClientRequest,
+    DialHost,
+    Downstream,
+    NotEstablished,
+    UpstreamAnswer,
+)
+from bramblestile.sockets import Signal
 from bramblestile.tracing import TracerHandle
 from vanegw import interface as api
 from vanegw.interface import Status
@@ -37,7 +45,8 @@
 
     ``connect_timeout`` limits each TCP connect to an upstream host, ``on_host_draining`` is called when an upstream
     host announces that it drains, ``dial`` connects to a host, and ``name`` is the front's name. ``successor`` is the
-    process that takes established connections over when this one stops, if there is one.
+    process that takes established connections over when this one stops, if there is one. ``interrupt`` ends what
+    requests wait for at their upstream hosts: the process is about to end, and each of them is owed its answer.
     """
 
     def __init__(
@@ -54,6 +63,7 @@
         name: str = "",
     ) -> None:
         self.successor: ConnectionSuccessor | None = None
+        self.interrupt = Signal()
         self.decisions = decisions
         self.cluster = cluster
         self.connections = connections
@@ -71,7 +81,11 @@
     """Counts, traces and logs the events of one request, in one place so that the three always agree."""
 
     def __init__(
-        self, context: ServingContext, request: api.Request, client_request: ClientRequest, arrived: timedelta
+        self,
+        context: ServingContext,
+        request: api.Request,
+        client_request: ClientRequest,
+        arrived: timedelta,
     ) -> None:
         self.context = context
         self.request = request
@@ -114,7 +128,7 @@
         # Not reported as a request: its id belongs to another one, and a trace would mix the two up.
         context.counters.add("ids_in_use")
         context.log.warning_rate_limited("id in use", id=client_request.id)
-        downstream.fail()
+        _reply(downstream, downstream.fail)
         return
     reporter = _RequestReporter(context, request, client_request, arrived)
     try:
@@ -131,11 +145,11 @@
                 return
             if isinstance(choice, api.Refuse):
                 reporter.answer(now(), "refused", attempt_index, wait_us=choice.retry_after_us)
-                downstream.refuse(from_microseconds(choice.retry_after_us))
+                _reply(downstream, partial(downstream.refuse, from_microseconds(choice.retry_after_us)), active)
                 return
             if isinstance(choice, api.Fail):
                 reporter.answer(now(), "failed", attempt_index)
-                downstream.fail()
+                _reply(downstream, downstream.fail, active)
                 return
             sent = now()
             answer = _send(context, downstream, choice)
@@ -182,6 +196,16 @@
         context.decisions.unregister(active)
 
 
+def _reply(downstream: Downstream, send: Callable[[], None], active: ActiveRequest | None = None) -> None:
+    """Send a local reply, note that the request is over, and close the connection."""
+    try:
+        send()
+    finally:
+        if active is not None:
+            active.is_over = True
+        downstream.close()
+
+
 def _send(context: ServingContext, downstream: Downstream, choice: api.Attempt) -> UpstreamAnswer:
     """Make the upstream request that the module chose."""
     host = context.cluster.find(choice.backend)
@@ -189,12 +213,8 @@
     if host is None or not context.cluster.accepts_requests(host):
         return NotEstablished(Status.NO_ROUTE)
     context.counters.add("upstream_requests")
-    return downstream.upstream_request(
-        partial(context.dial, host),
-        from_microseconds(choice.until_us),
-        context.connect_timeout,
-        partial(context.cluster.guard_send, host),
-    )
+    limits = AttemptLimits(from_microseconds(choice.until_us), context.connect_timeout, context.interrupt)
+    return downstream.upstream_request(partial(context.dial, host), limits, partial(context.cluster.guard_send, host))
 
 
 def _establish(
@@ -209,6 +229,7 @@
 ) -> None:
     """Report a connection as established and register it, so that it can be moved."""
     reporter.answer(at, "served", attempts, host)
+    active.is_over = True
     _register(context, connection, host, active)
     context.tracing.current.connection_established(at, connection.id, host, resumed)
 
@@ -250,6 +271,7 @@
     active = context.decisions.register(request.id, now())
     if active is None:
         return False
+    active.is_over = True  # the process that placed it has answered it
     at = now()
 
     def forward() -> None:
@@ -296,8 +318,7 @@
         if host is None
         else downstream.upstream_request(
             partial(context.dial, host),
-            sent + client_request.timeout,
-            client_request.timeout,
+            AttemptLimits(sent + client_request.timeout, client_request.timeout, context.interrupt),
             partial(nullcontext, True),
         )
     )
@@ -312,7 +333,7 @@
             reporter.answer(at, "left", 1)
         else:
             reporter.answer(at, "failed", 1)
-            downstream.fail()
+            _reply(downstream, downstream.fail, active)
         return
     reporter.attempt(at, 0, name, "up", took)
     _establish(context, answer.connection, name, active, reporter, at, 1, resumed=True)
--- a/bramblestile/memory/connections.py
+++ b/bramblestile/memory/connections.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import select
 import socket
 import threading
@@ -83,33 +82,23 @@
         """Handle the upstream host's announcement that it drains."""
 
 
-class PauseSignal:
+class PauseSignal(sockets.Signal):
     """Tells connections to pause between two reads, so that another process can take them over.
 
-    Unread input stays in the sockets for that process. A pipe wakes all threads at once, because shutting the sockets
+    Unread input stays in the sockets for that process. A signal wakes all threads at once, because shutting the sockets
     down to end the reads would end the connection for both processes.
     """
 
-    def __init__(self) -> None:
-        self._read, self._write = os.pipe()
-        self._set = False
-
-    def set(self) -> None:
-        """Set the signal, for good."""
-        if not self._set:
-            self._set = True
-            os.close(self._write)
-
     def poll_with(self, transport: sockets.Transport) -> select.poll:
         """Return a poll object that waits for input on the transport or for the signal."""
         poll = select.poll()
         poll.register(transport, select.POLLIN)
-        poll.register(self._read, select.POLLIN)
+        poll.register(self, select.POLLIN)
         return poll
 
     def is_in(self, ready: list[tuple[int, int]]) -> bool:
         """Return whether the signal is among the events that such a poll object returned."""
-        return any(fd == self._read for fd, _ in ready)
+        return any(fd == self.fileno() for fd, _ in ready)
 
 
 @dataclass(slots=True, eq=False)
--- a/bramblestile/memory/decisions.py
+++ b/bramblestile/memory/decisions.py
@@ -64,15 +64,24 @@
     def __init__(self, request_id: str, deadline: timedelta) -> None:
         self.id = request_id
         self.deadline = deadline
-        self.choices: SimpleQueue[Choice] = SimpleQueue()
+        self.choices: SimpleQueue[Choice | None] = SimpleQueue()  # None: the deadline has changed
         self.host = ""  # the host that its connection is open to
+        self.is_over = False  # it has got its final answer, or its client has left
 
     def next_choice(self) -> Choice:
         """Wait for the module's next choice; ``Fail`` if none comes in time, because the client is owed an answer."""
-        try:
-            return self.choices.get(timeout=max(self.deadline - now(), MIN_CHOICE_TIMEOUT).total_seconds())
-        except Empty:
-            return api.Fail(self.id)
+        while True:
+            try:
+                choice = self.choices.get(timeout=max(self.deadline - now(), MIN_CHOICE_TIMEOUT).total_seconds())
+            except Empty:
+                return api.Fail(self.id)
+            if choice is not None:
+                return choice
+
+    def expire(self) -> None:
+        """Bring the deadline forward to now, also for a thread that waits for a choice already."""
+        self.deadline = min(self.deadline, now())
+        self.choices.put(None)
 
 
 class Decisions:
@@ -147,6 +156,23 @@
         with self._lock:
             del self._active_requests[active.id]
 
+    def shut_down(self) -> None:
+        """Have the module answer every request as soon as it can. One that it has lost track of fails."""
+        self.handle_event(api.Shutdown())
+        with self._lock:
+            waiting = self._waiting_requests()
+        for active in waiting:
+            active.expire()
+
+    def waiting_ids(self) -> list[str]:
+        """Return the ids of the requests that are still owed their answer."""
+        with self._lock:
+            return [active.id for active in self._waiting_requests()]
+
+    def _waiting_requests(self) -> list[ActiveRequest]:
+        """Return the requests that are still owed their answer. Called with the lock held."""
+        return [active for active in self._active_requests.values() if not active.is_over]
+
     def update_list(self, mode: api.ListMode, hosts: Sequence[UpstreamHost]) -> None:
         """Apply news of the list of hosts.
 
--- a/bramblestile/memory/pending.py
+++ b/bramblestile/memory/pending.py
@@ -24,6 +24,7 @@
         self._changed = threading.Condition()
         self._accepted_at: dict[socket.socket, timedelta] = {}  # oldest first
         self._evicted: set[socket.socket] = set()
+        self._closed = False  # no connection may be pending any more
 
     def wait_for_room(self) -> None:
         """Block the accepting thread until there is room for one more; the oldest are evicted to that end."""
@@ -44,6 +45,13 @@
             if oldest is not None:
                 self._evict(oldest)
 
+    def evict_all(self) -> None:
+        """Evict all connections, and each later one at once: the process is about to end."""
+        with self._changed:
+            self._closed = True
+            for sock in self._accepted_at.keys() - self._evicted:
+                self._evict(sock)
+
     def _evict(self, sock: socket.socket) -> None:
         self._evicted.add(sock)
         sockets.shut_down(sock, socket.SHUT_RD)
@@ -52,6 +60,8 @@
         """Add a connection that has just been accepted."""
         with self._changed:
             self._accepted_at[sock] = now()
+            if self._closed:
+                self._evict(sock)
 
     def remove(self, sock: socket.socket) -> bool:
         """Remove a connection that has sent a request or has ended. Returns False where it was evicted."""
--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -64,6 +64,7 @@
 ACCEPT_AFTER_SIGTERM = timedelta(milliseconds=600)
 MAX_DEADLINE = timedelta(seconds=3)
 EXIT_AFTER_DEADLINE = timedelta(milliseconds=600)  # the exit comes this long after the longest deadline
+ANSWERS_END_BEFORE_EXIT = timedelta(milliseconds=200)  # then every request is answered, however long it might wait
 STOP_MOVES_START = timedelta(milliseconds=450)  # earlier, the front might send a moved client here again
 STOP_MOVES_END_BEFORE_EXIT = timedelta(milliseconds=350)  # by then all clients have been told to move
 # With a successor, only those connections are moved that it could not adopt. All others have reached it by then.
@@ -81,6 +82,9 @@
 SUSPEND_MOVES_MEAN = (SUSPEND_MOVES_START + SUSPEND_MOVES_END) / 2  # a client reconnects only after it is moved
 ORDERS_POLL_INTERVAL = timedelta(milliseconds=100)  # for orders that another process of this balancer has received
 MOVE_TICK = timedelta(milliseconds=20)  # between two checks of which connections are due to move
+LAST_ANSWERS_TIMEOUT = timedelta(milliseconds=80)  # after the exit was due; SIGKILL comes 0.1 s after that
+ANSWER_CHECK_INTERVAL = timedelta(milliseconds=5)
+MAX_LOGGED_IDS = 5
 TRACE_RESTART_TIMEOUT = timedelta(seconds=2)  # for the old recorder to write what it holds
 
 
@@ -613,26 +617,46 @@
         self.is_shutting_down = True  # reported at once; downstreams are still accepted
         has_successor = self.handoff is not None and self.handoff.wait_for_ready(SUCCESSOR_READY_TIMEOUT)
         listeners = [front.listener for front in self.fronts if front.listener is not None]
+        exit_at = began + self.max_deadline() + EXIT_AFTER_DEADLINE
         threading.Thread(
-            target=self._stop_listening,
-            args=(listeners, ZERO_DURATION if has_successor else ACCEPT_AFTER_SIGTERM),
+            target=self._end_requests,
+            args=(
+                listeners,
+                now() + (ZERO_DURATION if has_successor else ACCEPT_AFTER_SIGTERM),
+                exit_at - ANSWERS_END_BEFORE_EXIT,
+            ),
             name="closing",
             daemon=True,
         ).start()
-        exit_after = self.max_deadline() + EXIT_AFTER_DEADLINE
         if has_successor and self.handoff is not None:
             self.handoff.hand_over_all()
         # Moved clients reconnect at once: the moves are spread over all the time there is, to avoid a burst.
         schedule = MoveSchedule(
             began + (STOP_MOVES_START_WITH_SUCCESSOR if has_successor else STOP_MOVES_START),
-            began + exit_after - STOP_MOVES_END_BEFORE_EXIT,
+            exit_at - STOP_MOVES_END_BEFORE_EXIT,
         )
-        while now() < began + exit_after and (
-            now() < schedule.starts_at or any(listener.active_count for listener in listeners)
-        ):
+        self._move_until(exit_at, schedule, listeners)
+        self._wait_for_answers()
+        self._report_unanswered()
+
+    def _move_until(self, exit_at: timedelta, schedule: MoveSchedule, listeners: list[Listener]) -> None:
+        """Move connections until the exit is due, or until nothing is open any more."""
+        while True:
+            # Before the test of the time: a process that was held up until after its exit still tells all clients.
             self._move_due(schedule, "stop")
+            at = now()
+            if at >= exit_at or (at >= schedule.starts_at and not any(listener.active_count for listener in listeners)):
+                return
             time.sleep(MOVE_TICK.total_seconds())
 
+    def _wait_for_answers(self) -> None:
+        """Wait until all requests are answered, also in a process that was held up until after its exit was due."""
+        until = now() + LAST_ANSWERS_TIMEOUT
+        while self._unanswered() and now() < until:
+            for front in self.fronts:
+                front.answer_all()
+            time.sleep(ANSWER_CHECK_INTERVAL.total_seconds())
+
     def _move_due(self, schedule: MoveSchedule, reason: str, host: str | None = None) -> None:
         """Move the connections that are due by now, of one host or of all (None)."""
         at = now()
@@ -650,10 +674,24 @@
         if connection.move(MOVE_TICK) and not already_moved:
             self.tracing.current.connection_moved(now(), connection.id, connection.host, reason)
 
-    def _stop_listening(self, listeners: list[Listener], delay: timedelta) -> None:
-        time.sleep(delay.total_seconds())
+    def _end_requests(self, listeners: list[Listener], accept_until: timedelta, answer_at: timedelta) -> None:
+        """Accept no more downstreams from the first time on, and have all requests answered at the second."""
+        time.sleep(max(accept_until - now(), ZERO_DURATION).total_seconds())
         for listener in listeners:
             listener.stop()
+        time.sleep(max(answer_at - now(), ZERO_DURATION).total_seconds())
+        for front in self.fronts:
+            front.answer_all()
+
+    def _unanswered(self) -> list[str]:
+        return [request_id for front in self.fronts for request_id in front.decisions.waiting_ids()]
+
+    def _report_unanswered(self) -> None:
+        """Count and log the requests that the process ends without an answer to."""
+        unanswered = self._unanswered()
+        if unanswered:
+            self.counters.add("unanswered_at_exit", len(unanswered))
+            self.log.error("unanswered", count=len(unanswered), ids=unanswered[:MAX_LOGGED_IDS])
 
     def max_deadline(self) -> timedelta:
         """Return the longest deadline of all request classes, at most ``MAX_DEADLINE``."""
--- a/bramblestile/process/front.py
+++ b/bramblestile/process/front.py
@@ -25,6 +25,7 @@
 from bramblestile.memory.pending import PendingDownstreams
 from bramblestile.process.config import ConfigError, FrontConfig, NatsConfig, TlsConfig
 from bramblestile.process.listeners import Listener
+from bramblestile.protocol import AttemptLimits
 from bramblestile.sockets import Address, Transport
 from bramblestile.tracing import TracerHandle
 from bramblestile.wire import lines, nats
@@ -154,13 +155,11 @@
         )
 
     # Reads what an upstream host sends before the TLS handshake; None for a protocol that begins with the handshake.
-    read_before_tls: Callable[[Transport, timedelta], bytes] | None = None
+    read_before_tls: Callable[[Transport, AttemptLimits], bytes] | None = None
 
-    def _dial(self, host: UpstreamHost, connect_timeout: timedelta, until: timedelta) -> Transport:
+    def _dial(self, host: UpstreamHost, limits: AttemptLimits) -> Transport:
         """Connect as the current configuration says: a reload may turn TLS on or off."""
-        if self.tls is None:
-            return dial_plain(host, connect_timeout, until)
-        return self.tls.dial(host, connect_timeout, until)
+        return dial_plain(host, limits) if self.tls is None else self.tls.dial(host, limits)
 
     def warmth(self, host: UpstreamHost, after: timedelta = ZERO_DURATION) -> float:
         """Return the part of its capacity that a host has in slow start, now or after a while.
@@ -289,6 +288,15 @@
         if self.listener is not None:
             self.listener.stop()
 
+    def answer_all(self) -> None:
+        """Have every request answered that still waits, and every later one; the process is about to end.
+
+        Established connections continue.
+        """
+        self.pending_downstreams.evict_all()
+        self.decisions.shut_down()
+        self.context.interrupt.set()
+
     def make_prober(self) -> tuple[ProbeHost, Callable[[], None]]:
         """Return a function that probes a host over a connection that it keeps, and one that closes the connection."""
         raise NotImplementedError
--- a/bramblestile/protocol.py
+++ b/bramblestile/protocol.py
@@ -10,7 +10,7 @@
 
 from bramblestile.memory.cluster import UpstreamHost
 from bramblestile.memory.connections import ProxiedConnection
-from bramblestile.sockets import Transport
+from bramblestile.sockets import Signal, Transport
 from vanegw.interface import Status
 
 
@@ -50,6 +50,18 @@
 UpstreamAnswer = Established | NotEstablished
 
 
+@dataclass(slots=True, frozen=True)
+class AttemptLimits:
+    """The time limits of one upstream request: it must be answered before ``until``.
+
+    ``connect_timeout`` limits the TCP connect. ``interrupt`` ends all waits at once, as if the time were over.
+    """
+
+    until: timedelta
+    connect_timeout: timedelta
+    interrupt: Signal | None = None
+
+
 class Downstream(Protocol):
     """The client's side of one request, which also makes its upstream requests."""
 
@@ -62,10 +74,11 @@
     def fail(self) -> None:
         """Send the local reply "failed": the request may have run."""
 
-    def upstream_request(
-        self, dial: Dial, until: timedelta, connect_timeout: timedelta, send_guard: SendGuard
-    ) -> UpstreamAnswer:
-        """Make one upstream request, which must be answered before ``until``.
+    def close(self) -> None:
+        """Close the connection after a local reply, which the client has time to read."""
+
+    def upstream_request(self, dial: Dial, limits: AttemptLimits, send_guard: SendGuard) -> UpstreamAnswer:
+        """Make one upstream request within its time limits.
 
         ``send_guard`` is held after dialling, while the first bytes are written.
         """
@@ -74,16 +87,16 @@
 class Dial(Protocol):
     """Connects to the upstream host that was chosen."""
 
-    def __call__(self, connect_timeout: timedelta, until: timedelta) -> Transport:
+    def __call__(self, limits: AttemptLimits) -> Transport:
         """Return a connected socket, or a channel over it.
 
-        ``connect_timeout`` limits the TCP connect; everything that precedes the first byte of the request must be done
-        before ``until``. Raises OSError; a DialError tells whether the host was contacted.
+        Everything that precedes the first byte of the request must be done before ``limits.until``. Raises OSError; a
+        DialError tells whether the host was contacted.
         """
 
 
-# Dials an upstream host; the durations are those of Dial.__call__.
-DialHost = Callable[[UpstreamHost, timedelta, timedelta], Transport]
+# Dials an upstream host; the limits are those of Dial.__call__.
+DialHost = Callable[[UpstreamHost, AttemptLimits], Transport]
 
 
 class SendGuard(Protocol):
--- a/bramblestile/sockets.py
+++ b/bramblestile/sockets.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 import contextlib
+import errno
+import os
 import select
 import socket
 import struct
+import threading
 from collections.abc import Sequence
 from datetime import timedelta
+from typing import Any
 
 from bramblestile.clock import MICROSECOND, ZERO_DURATION, now, to_milliseconds
 
 Address = tuple[str, int]
 READABLE = select.POLLIN
+WRITABLE = select.POLLOUT
 WRITE_TIMEOUT = timedelta(seconds=3)  # a peer that reads nothing for this long is disconnected
+MIN_CONNECT_TIMEOUT = timedelta(milliseconds=1)
 LINGER_TIMEOUT = timedelta(milliseconds=250)  # how long to read what the peer still sends after a final reply
 MAX_DISCARDED_BYTES = 1 << 20  # unread input that is discarded while closing
 _DISCARD_BUFFER = bytearray(65536)  # shared by all threads, since its contents are never read
@@ -82,6 +88,33 @@
 Transport = socket.socket | Channel
 
 
+class Signal:
+    """Wakes every thread that polls it, once and for good. It is a pipe, since only descriptors can be polled."""
+
+    def __init__(self) -> None:
+        self._read, self._write = os.pipe()
+        self._lock = threading.Lock()
+        self._set = False
+
+    def set(self) -> None:
+        """Set the signal."""
+        with self._lock:
+            if not self._set:
+                self._set = True
+                os.close(self._write)
+
+    def fileno(self) -> int:
+        """Return the descriptor that becomes readable."""
+        return self._read
+
+    def wait(self, timeout: timedelta) -> bool:
+        """Wait until the signal is set, or until the timeout expires; return whether it is set."""
+        return wait((self, READABLE), timeout=timeout) is self
+
+
+Pollable = Transport | Signal
+
+
 def _timeval(duration: timedelta) -> bytes:
     return struct.pack("ll", duration // timedelta(seconds=1), duration % timedelta(seconds=1) // MICROSECOND)
 
@@ -96,11 +129,36 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, _timeval(WRITE_TIMEOUT))
 
 
-def dial(address: Address, connect_timeout: timedelta) -> socket.socket:
-    """Connect within the timeout, or raise OSError."""
-    sock = socket.create_connection(address, timeout=max(connect_timeout, MICROSECOND * 1000).total_seconds())
-    set_options(sock)
-    return sock
+def dial(address: Address, connect_timeout: timedelta, interrupt: Signal | None = None) -> socket.socket:
+    """Connect within the timeout, or raise OSError. ``interrupt`` ends the wait as the timeout does."""
+    until = now() + max(connect_timeout, MIN_CONNECT_TIMEOUT)
+    error = OSError("the name has no address")
+    for family, kind, protocol, _, resolved in socket.getaddrinfo(*address, type=socket.SOCK_STREAM):
+        sock = socket.socket(family, kind, protocol)
+        try:
+            _connect(sock, resolved, until, interrupt)
+            set_options(sock)
+            return sock
+        except OSError as failure:
+            sock.close()
+            error = failure
+    raise error
+
+
+def _connect(sock: socket.socket, address: Any, until: timedelta, interrupt: Signal | None) -> None:
+    sock.setblocking(False)
+    code = sock.connect_ex(address)
+    if code == errno.EINPROGRESS:
+        remaining = max(until - now(), ZERO_DURATION)
+        if wait((sock, WRITABLE), *_readable(interrupt), timeout=remaining) is not sock:
+            raise TimeoutError("timed out")
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if code:
+        raise OSError(code, os.strerror(code))
+
+
+def _readable(signal: Signal | None) -> list[tuple[Pollable, int]]:
+    return [] if signal is None else [(signal, READABLE)]
 
 
 def write(transport: Transport, parts: Sequence[bytes | memoryview]) -> None:
@@ -125,18 +183,25 @@
     return wait((sock, select.POLLRDHUP), timeout=ZERO_DURATION) is sock
 
 
-def wait(*interests: tuple[Transport, int], timeout: timedelta) -> Transport | None:
-    """Wait for poll events and return the first transport, in the given order, that is ready; None on timeout."""
+def wait(*interests: tuple[Pollable, int], timeout: timedelta) -> Pollable | None:
+    """Wait for poll events and return the first object, in the given order, that is ready; None on timeout."""
     poll = select.poll()
-    for transport, events in interests:
-        if transport.fileno() < 0 or (
-            isinstance(transport, Channel) and events & READABLE and transport.has_buffered_data()
+    for pollable, events in interests:
+        if pollable.fileno() < 0 or (
+            isinstance(pollable, Channel) and events & READABLE and pollable.has_buffered_data()
         ):
-            return transport
-        poll.register(transport, events)
+            return pollable
+        poll.register(pollable, events)
     # Rounded up: waking a fraction of a millisecond early would make the caller spin until its deadline.
     ready = {fd for fd, _ in poll.poll(max(0, to_milliseconds(timeout + timedelta(microseconds=999))))}
-    return next((transport for transport, _ in interests if transport.fileno() in ready), None)
+    return next((pollable for pollable, _ in interests if pollable.fileno() in ready), None)
+
+
+def wait_readable(transport: Transport, timeout: timedelta, interrupt: Signal | None = None) -> bool:
+    """Return whether the transport becomes readable before the timeout expires or ``interrupt`` is set."""
+    if timeout <= ZERO_DURATION:
+        return False
+    return wait((transport, READABLE), *_readable(interrupt), timeout=timeout) is transport
 
 
 def shut_down(transport: Transport, how: int = socket.SHUT_RDWR) -> None:
@@ -174,7 +239,12 @@
     try:
         write(sock, [line])
     finally:
-        close(sock, linger=LINGER_TIMEOUT)
+        close_after_reply(sock)
+
+
+def close_after_reply(sock: socket.socket) -> None:
+    """Close a connection whose last bytes were a local reply, so that the peer can read it."""
+    close(sock, linger=LINGER_TIMEOUT)
 
 
 class LineReader:
@@ -186,11 +256,16 @@
         self.view = memoryview(self.buffer)
         self.start = self.end = 0
 
-    def line(self, timeout: timedelta | None = None, abort_on: socket.socket | None = None) -> memoryview | None:
+    def line(
+        self,
+        timeout: timedelta | None = None,
+        abort_on: socket.socket | None = None,
+        interrupt: Signal | None = None,
+    ) -> memoryview | None:
         """Return the next line with its line ending, or None at the end of the stream.
 
-        Raises TimeoutError when the timeout expires, InterruptedError when the peer of ``abort_on`` disconnects first,
-        and LineTooLongError when the line does not fit into the buffer.
+        Raises TimeoutError when the timeout expires or ``interrupt`` is set, InterruptedError when the peer of
+        ``abort_on`` disconnects first, and LineTooLongError when the line does not fit into the buffer.
         """
         until = None if timeout is None else now() + timeout
         searched = self.start
@@ -208,7 +283,7 @@
                 self.buffer[:unread] = self.buffer[self.start : self.end]
                 self.start, self.end, searched = 0, unread, unread
             if until is not None:
-                self._wait(until - now(), abort_on)
+                self._wait(until - now(), abort_on, interrupt)
             try:
                 received = self.transport.recv_into(self.view[self.end :])
             except BlockingIOError:  # a channel's record that is still incomplete
@@ -217,12 +292,13 @@
                 return None
             self.end += received
 
-    def _wait(self, remaining: timedelta, abort_on: socket.socket | None) -> None:
-        interests: list[tuple[Transport, int]] = [(self.transport, select.POLLIN)] + (
-            [(abort_on, select.POLLRDHUP)] if abort_on else []
-        )
+    def _wait(self, remaining: timedelta, abort_on: socket.socket | None, interrupt: Signal | None) -> None:
+        interests: list[tuple[Pollable, int]] = [(self.transport, READABLE)]
+        if abort_on is not None:
+            interests.append((abort_on, select.POLLRDHUP))
+        interests += _readable(interrupt)
         ready = wait(*interests, timeout=remaining) if remaining > ZERO_DURATION else None
-        if ready is None:
+        if ready is None or ready is interrupt:
             raise TimeoutError
         if ready is abort_on:
             raise InterruptedError
--- a/bramblestile/tls/channel.py
+++ b/bramblestile/tls/channel.py
@@ -21,7 +21,7 @@
 from typing import Any
 
 from bramblestile import sockets
-from bramblestile.clock import ZERO_DURATION, now
+from bramblestile.clock import now
 from bramblestile.sockets import Channel, TruncatedError
 from bramblestile.tls import certificates
 from bramblestile.tls.verification import CertificateInfo
@@ -78,17 +78,18 @@
 
     # The handshake, by one thread, before other threads use the channel.
 
-    def handshake(self, until: timedelta, verify_chain: ChainVerifier) -> None:
+    def handshake(self, until: timedelta, verify_chain: ChainVerifier, interrupt: sockets.Signal | None = None) -> None:
         """Carry out the handshake until a point in time. ``verify_chain`` raises an exception to refuse the host.
 
+        ``interrupt`` ends the wait for the host as the end of the time does.
+
         Our last flight, which with TLS 1.3 contains the client certificate, is sent only after OpenSSL and
         ``verify_chain`` have accepted the host. Raises DialError, TimeoutError, or what ``verify_chain`` raises.
         """
         received_bytes = 0
         while not self._continue_handshake(verify_chain):
             self._write_to_socket(self._outgoing.read())
-            remaining = until - now()
-            if remaining <= ZERO_DURATION or sockets.wait((self._sock, sockets.READABLE), timeout=remaining) is None:
+            if not sockets.wait_readable(self._sock, until - now(), interrupt):
                 raise HandshakeError(
                     "tls: no end of the handshake in time" if received_bytes else "tls: no answer to the ClientHello"
                 )
--- a/bramblestile/tls/dialer.py
+++ b/bramblestile/tls/dialer.py
@@ -17,6 +17,7 @@
 from bramblestile.log import Log
 from bramblestile.memory.cluster import UpstreamHost
 from bramblestile.memory.counters import Counters
+from bramblestile.protocol import AttemptLimits
 from bramblestile.sockets import DialError, Transport
 from bramblestile.tls import verification
 from bramblestile.tls.budget import HandshakeBudget, HandshakeRates
@@ -85,7 +86,7 @@
         warmth: Callable[[UpstreamHost], float] = lambda host: 1.0,
         find_host: Callable[[str], UpstreamHost | None] = lambda name: None,
         set_closed: Callable[[str, bool], None] = lambda name, closed: None,
-        read_preamble: Callable[[Transport, timedelta], bytes] | None = None,
+        read_preamble: Callable[[Transport, AttemptLimits], bytes] | None = None,
         wall_clock: Callable[[], datetime] = lambda: datetime.now(UTC),
         trust_store: TrustStore | None = None,
         clock: Callable[[], timedelta] = now,
@@ -114,7 +115,7 @@
 
     # For requests.
 
-    def dial(self, host: UpstreamHost, connect_timeout: timedelta, until: timedelta) -> Transport:
+    def dial(self, host: UpstreamHost, limits: AttemptLimits) -> Transport:
         """Return a channel to a verified host, or raise OSError."""
         trust_store, name, key = self._identity(host)
         with self._lock:
@@ -122,8 +123,8 @@
             failure = self._refused_hosts.failure(host.id)
         if failure is not None:  # the request was routed here before the host was closed to new requests
             raise CertificateRefusedError(host.id, failure)
-        cached = self._reserve(host, key, until)
-        return self._connect(host, trust_store, name, key, cached, connect_timeout, until)[0]
+        cached = self._reserve(host, key, limits)
+        return self._connect(host, trust_store, name, key, cached, limits)[0]
 
     def _identity(self, host: UpstreamHost) -> tuple[TrustStore, ExpectedName, SessionKey]:
         """Return the current trust store, the name the host must have, and the key of its sessions."""
@@ -140,7 +141,7 @@
         if len(self._start_times) > 2 * MAX_HOSTS:
             self._start_times = {n: t for n, t in self._start_times.items() if self._find_host(n) is not None}
 
-    def _reserve(self, host: UpstreamHost, key: SessionKey, until: timedelta) -> CachedSession | None:
+    def _reserve(self, host: UpstreamHost, key: SessionKey, limits: AttemptLimits) -> CachedSession | None:
         """Reserve a handshake and wait until it may begin. Return the session that it may resume.
 
         Raises DialError if the wait would take too long.
@@ -149,7 +150,7 @@
         with self._lock:
             cached = self._sessions.acquire(key, at)
             wait = self._budget.reserve(
-                host.id, cached is not None, warmth, at, max(until - at, ZERO_DURATION) / MAX_WAIT_DIVISOR
+                host.id, cached is not None, warmth, at, max(limits.until - at, ZERO_DURATION) / MAX_WAIT_DIVISOR
             )
             if wait is None and cached is not None and cached.single_use:
                 self._sessions.store(key, cached.session, cached.chain, at, cached.expires_at - at)
@@ -158,7 +159,10 @@
             raise DialError(f"tls: {host.id}: handshake budget exhausted", skipped=True)
         if wait > ZERO_DURATION:
             self._counters.add("tls_waited")
-            time.sleep(wait.total_seconds())
+            if limits.interrupt is None:
+                time.sleep(wait.total_seconds())
+            else:
+                limits.interrupt.wait(wait)
         return cached
 
     def _connect(
@@ -168,17 +172,16 @@
         name: ExpectedName,
         key: SessionKey,
         cached: CachedSession | None,
-        connect_timeout: timedelta,
-        until: timedelta,
+        limits: AttemptLimits,
     ) -> tuple[TlsChannel, HandshakeResult]:
         try:
-            sock = sockets.dial(host.address, min(connect_timeout, until - now()))
+            sock = sockets.dial(host.address, min(limits.connect_timeout, limits.until - now()), limits.interrupt)
         except OSError:
             with self._lock:
                 self._budget.refund(host.id, cached is not None, self._clock())
             raise
         try:
-            preamble = b"" if self._read_preamble is None else self._read_preamble(sock, until)
+            preamble = b"" if self._read_preamble is None else self._read_preamble(sock, limits)
             is_uri = name.kind is NameKind.URI
             channel = TlsChannel(
                 sock,
@@ -190,8 +193,9 @@
                 channel.chain = cached.chain
             began_at = self._clock()
             channel.handshake(
-                min(until, now() + self._config.handshake_timeout),
+                min(limits.until, now() + self._config.handshake_timeout),
                 lambda chain: self._verify(trust_store, name, chain),
+                limits.interrupt,
             )
             duration = self._clock() - began_at
         except (HandshakeError, CertificateVerificationError, _ChainRefusedError) as error:
@@ -310,10 +314,10 @@
     def try_handshake(self, host: UpstreamHost, timeout: timedelta = RECHECK_TIMEOUT) -> HandshakeResult:
         """Carry out a handshake and close the connection, without regard to the budget. Raises OSError."""
         trust_store, name, key = self._identity(host)
-        until = now() + timeout
+        limits = AttemptLimits(now() + timeout, timeout)
         with self._lock:
             cached = self._sessions.acquire(key, self._clock())
-        channel, result = self._connect(host, trust_store, name, key, cached, timeout, until)
+        channel, result = self._connect(host, trust_store, name, key, cached, limits)
         sockets.close(channel)
         return result
 
--- a/bramblestile/wire/common.py
+++ b/bramblestile/wire/common.py
@@ -9,7 +9,15 @@
 from bramblestile import sockets
 from bramblestile.clock import now
 from bramblestile.memory.cluster import UpstreamHost
-from bramblestile.protocol import ClientRequest, Dial, Established, NotEstablished, SendGuard, UpstreamAnswer
+from bramblestile.protocol import (
+    AttemptLimits,
+    ClientRequest,
+    Dial,
+    Established,
+    NotEstablished,
+    SendGuard,
+    UpstreamAnswer,
+)
 from bramblestile.sockets import LineReader, Transport
 from vanegw.interface import Status
 
@@ -30,32 +38,34 @@
 
     @abstractmethod
     def refuse(self, retry_after: timedelta) -> None:
-        """Send the local reply "refused" and close."""
+        """Send the local reply "refused"."""
 
     @abstractmethod
     def fail(self) -> None:
-        """Send the local reply "failed" and close."""
+        """Send the local reply "failed"."""
+
+    def close(self) -> None:
+        """Close the connection after a local reply."""
+        sockets.close_after_reply(self._sock)
 
     @abstractmethod
-    def _exchange(self, upstream: Transport, until: timedelta, send_guard: SendGuard) -> UpstreamAnswer:
+    def _exchange(self, upstream: Transport, limits: AttemptLimits, send_guard: SendGuard) -> UpstreamAnswer:
         """Send the request on an open connection and read the upstream host's answer."""
 
     def _reply(self, line: bytes) -> None:
-        sockets.reply_and_close(self._sock, line)
+        sockets.write(self._sock, [line])
 
-    def upstream_request(
-        self, dial: Dial, until: timedelta, connect_timeout: timedelta, send_guard: SendGuard
-    ) -> UpstreamAnswer:
+    def upstream_request(self, dial: Dial, limits: AttemptLimits, send_guard: SendGuard) -> UpstreamAnswer:
         """Dial and send the request. The connection is closed unless the upstream host accepts it."""
         try:
-            upstream = dial(min(connect_timeout, until - now()), until)
+            upstream = dial(limits)
         except sockets.DialError as error:
             return NotEstablished(Status.NOT_SENT if error.skipped else Status.NO_ROUTE, detail=str(error))
         except OSError:
             return NotEstablished(Status.NO_ROUTE)
         answer: UpstreamAnswer | None = None
         try:
-            answer = self._exchange(upstream, until, send_guard)
+            answer = self._exchange(upstream, limits, send_guard)
             return answer
         finally:
             if not isinstance(answer, Established):
@@ -64,6 +74,6 @@
                 upstream.setblocking(True)
 
 
-def dial_plain(host: UpstreamHost, connect_timeout: timedelta, until: timedelta) -> Transport:
-    """Connect to an upstream host without TLS. ``until`` is unused, as nothing precedes the first byte."""
-    return sockets.dial(host.address, connect_timeout)
+def dial_plain(host: UpstreamHost, limits: AttemptLimits) -> Transport:
+    """Connect to an upstream host without TLS."""
+    return sockets.dial(host.address, min(limits.connect_timeout, limits.until - now()), limits.interrupt)
--- a/bramblestile/wire/lines.py
+++ b/bramblestile/wire/lines.py
@@ -12,7 +12,15 @@
 from bramblestile.clock import MICROSECOND, ZERO_DURATION, now, to_milliseconds
 from bramblestile.memory.cluster import UpstreamHost
 from bramblestile.memory.connections import Message, MessageKind, ProxiedConnection
-from bramblestile.protocol import ClientRequest, DialHost, Established, NotEstablished, SendGuard, UpstreamAnswer
+from bramblestile.protocol import (
+    AttemptLimits,
+    ClientRequest,
+    DialHost,
+    Established,
+    NotEstablished,
+    SendGuard,
+    UpstreamAnswer,
+)
 from bramblestile.sockets import LineReader, Transport, decode_line
 from bramblestile.wire.common import SocketDownstream, dial_plain
 from vanegw.interface import Report, Status
@@ -193,15 +201,15 @@
         self._open_line = open_line
 
     def refuse(self, retry_after: timedelta) -> None:
-        """Send BUSY, with the retry time in milliseconds if there is one, and close."""
+        """Send BUSY, with the retry time in milliseconds if there is one."""
         ms = to_milliseconds(retry_after)
         self._reply(b"BUSY %d\r\n" % ms if ms > 0 else b"BUSY\r\n")
 
     def fail(self) -> None:
-        """Send ERR and close."""
+        """Send ERR."""
         self._reply(ERR)
 
-    def _exchange(self, upstream: Transport, until: timedelta, send_guard: SendGuard) -> UpstreamAnswer:
+    def _exchange(self, upstream: Transport, limits: AttemptLimits, send_guard: SendGuard) -> UpstreamAnswer:
         """Send the request line and wait for the first line of the answer; ``UP`` establishes the connection."""
         # The line of a bound connection is sent unchanged: the host knows the connection by it.
         bound = self._request.bound_to is not None
@@ -210,13 +218,14 @@
                 if not allowed:  # a host that began to drain during the dial must not get the request
                     return NotEstablished(Status.NO_ROUTE)
                 sockets.write(
-                    upstream, [self._open_line.line] if bound else self._open_line.for_upstream(until - now())
+                    upstream, [self._open_line.line] if bound else self._open_line.for_upstream(limits.until - now())
                 )
         except OSError:
             return NotEstablished(Status.NO_ROUTE)  # broke before the last byte was written, so it cannot have run
         reader = LineReader(upstream, MAX_LINE_BYTES)
         try:
-            line = reader.line(max(until - now(), ZERO_DURATION), abort_on=self._sock)
+            remaining = max(limits.until - now(), ZERO_DURATION)
+            line = reader.line(remaining, abort_on=self._sock, interrupt=limits.interrupt)
         except TimeoutError:
             return NotEstablished(Status.TIMED_OUT)
         except InterruptedError:
@@ -284,7 +293,7 @@
         """Send one STATS probe, over the connection of the last one if it is still open; return its result."""
         try:
             if self._transport is None:
-                self._transport = self._dial(host, until - now(), until)
+                self._transport = self._dial(host, AttemptLimits(until, until - now()))
                 self._reader = LineReader(self._transport, MAX_LINE_BYTES)
             sockets.write(self._transport, [b"STATS\r\n"])
         except OSError as error:
--- a/bramblestile/wire/nats.py
+++ b/bramblestile/wire/nats.py
@@ -19,7 +19,15 @@
 from bramblestile.clock import ZERO_DURATION, now, to_milliseconds
 from bramblestile.memory.cluster import UpstreamHost
 from bramblestile.memory.connections import Message, MessageKind, ProtocolViolationError, ProxiedConnection
-from bramblestile.protocol import ClientRequest, DialHost, Established, NotEstablished, SendGuard, UpstreamAnswer
+from bramblestile.protocol import (
+    AttemptLimits,
+    ClientRequest,
+    DialHost,
+    Established,
+    NotEstablished,
+    SendGuard,
+    UpstreamAnswer,
+)
 from bramblestile.sockets import Address, LineReader, Transport, decode_line
 from bramblestile.wire.common import MAX_PINGS, SocketDownstream, dial_plain
 from vanegw.interface import Report, Status
@@ -149,7 +157,7 @@
 def has_stopped_draining(dial: DialHost, host: UpstreamHost, timeout: timedelta) -> bool:
     """Connect to a host, read its INFO and return whether it no longer announces lame duck mode. Sends nothing."""
     try:
-        transport = dial(host, timeout, now() + timeout)
+        transport = dial(host, AttemptLimits(now() + timeout, timeout))
         try:
             line = LineReader(transport, MAX_LINE_BYTES * 4).line(timeout)
             return line is not None and bytes(line[:4]).upper() == b"INFO" and not announces_lame_duck(bytes(line))
@@ -159,11 +167,11 @@
         return False
 
 
-def read_info(transport: Transport, until: timedelta) -> bytes:
+def read_info(transport: Transport, limits: AttemptLimits) -> bytes:
     """Read the INFO that a host sends in plain text before TLS begins. Raises DialError."""
     reader = LineReader(transport, MAX_LINE_BYTES * 4)
     try:
-        line = reader.line(max(until - now(), ZERO_DURATION))
+        line = reader.line(max(limits.until - now(), ZERO_DURATION), interrupt=limits.interrupt)
     except TimeoutError:
         raise sockets.DialError("nats: no INFO in time") from None
     except sockets.LineTooLongError:
@@ -242,21 +250,22 @@
         self._verbose = verbose
 
     def refuse(self, retry_after: timedelta) -> None:
-        """Send that the maximum of connections is exceeded, with the retry time if there is one, and close."""
+        """Send that the maximum of connections is exceeded, with the retry time if there is one."""
         ms = to_milliseconds(retry_after)
         self._reply(error(f"{CONNECTIONS_EXCEEDED}, come back in {ms} ms" if ms > 0 else CONNECTIONS_EXCEEDED))
 
     def fail(self) -> None:
-        """Send that the connection is stale and close."""
+        """Send that the connection is stale."""
         self._reply(STALE_CONNECTION)
 
-    def _exchange(self, upstream: Transport, until: timedelta, send_guard: SendGuard) -> UpstreamAnswer:
+    def _exchange(self, upstream: Transport, limits: AttemptLimits, send_guard: SendGuard) -> UpstreamAnswer:
         """Wait for the host's INFO, send the client's CONNECT and a PING, and wait for the PONG that accepts it."""
         reader = LineReader(upstream, MAX_LINE_BYTES * 4)  # an INFO may be longer than a client's lines
         sent = False
         while True:
             try:
-                line = reader.line(max(until - now(), ZERO_DURATION), abort_on=self._sock)
+                remaining = max(limits.until - now(), ZERO_DURATION)
+                line = reader.line(remaining, abort_on=self._sock, interrupt=limits.interrupt)
             except TimeoutError:
                 return NotEstablished(Status.TIMED_OUT if sent else Status.NO_ROUTE)
             except InterruptedError:
@@ -316,7 +325,7 @@
         """Connect, send CONNECT and PING, and return how that ended; there is never a load report."""
         until = now() + timeout
         try:
-            transport = self._dial(host, timeout, until)
+            transport = self._dial(host, AttemptLimits(until, timeout))
             try:
                 reader = LineReader(transport, MAX_LINE_BYTES * 4)
                 sockets.write(transport, [b'CONNECT {"verbose":false}\r\n', PING])
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -10,6 +10,7 @@
     list b0 STATE   discovery reports the state; 'cold': running, started just now
     reload NAME     a new configuration, which names another discovery; 'none': names none, and no host
     wait NAME N     until a counter has reached N
+    front answer_all    the process is about to end: all requests are answered
 
 Actors are c1, c2, ... (downstreams), b0, b1, ... (upstream hosts), a0 (the agent of b0) and d, d2, ... (discovery).
 Further verbs stand for the steps that each protocol needs for them (``WORDS``):
@@ -356,6 +357,10 @@
         """Close a host's listener."""
         self.listening[actor].close()
 
+    def do_answer_all(self, actor: str, _: str) -> None:
+        """Have the front answer all requests, as shortly before the end of the process."""
+        self.front.answer_all()
+
     def do_idle(self, actor: str, _: str) -> None:
         """Assert that no connection waits to be accepted."""
         assert not select.select([self.listening[actor]], [], [], 0)[0], "a connection waits there"
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -91,6 +91,23 @@
     assert driver.handle(api.TimerFired("hold unknown")) == []
 
 
+def test_shutdown_answers_waiting_requests_at_once_and_others_when_their_attempts_end() -> None:
+    """Guards against requests that are retried while the process ends, and then get no answer."""
+    once = api.RequestClass("once", objective_us=800_000, deadline_us=3_200_000, effect=api.Effect.UNSAFE)
+    driver = BalancerDriver(replace(SETTINGS, classes=(CLASS, once)))
+    driver.set_list(*make_backends(5))
+    sent, sent_once, opened = (driver.place_request(cls=name) for name in ("feed", "once", "feed"))
+    driver.open_connection(opened)
+    driver.now_us += 60_000_000  # the load reports are out of date, so the next request waits for probes
+    waiting = driver.handle(api.Request("waits", "feed", 3_200_000))
+    assert actions_of(waiting, api.Probe) and not actions_of(waiting, api.Attempt)
+    assert [type(a) for a in driver.handle(api.Shutdown())] == [api.Refuse]
+    assert [type(a) for a in driver.end_attempt(sent, api.Status.TIMED_OUT)] == [api.Refuse]
+    assert [type(a) for a in driver.end_attempt(sent_once, api.Status.TIMED_OUT)] == [api.Fail]
+    assert [type(a) for a in driver.request(cls="once")] == [api.Refuse]
+    assert final_answers(driver.end_attempt(opened, api.Status.SERVED, finished=True)) == []
+
+
 # Rule 2: no request takes effect twice.
 
 
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -23,6 +23,7 @@
 from bramblestile.memory.cluster import UpstreamHost
 from bramblestile.memory.counters import Counters
 from bramblestile.process import config
+from bramblestile.protocol import AttemptLimits
 from bramblestile.tls import Dialer, TlsFilesError, channel, dev_certificates, verification
 from bramblestile.tls.dialer import CertificateRefusedError, DialerConfig
 from bramblestile.tls.trust import TlsFiles, load_trust_store
@@ -129,7 +130,7 @@
 
 
 def dial(dialer: Dialer, host: StubHost, timeout_s: float = 2.0) -> sockets.Transport:
-    return dialer.dial(host.upstream_host, SECOND, now() + timedelta(seconds=timeout_s))
+    return dialer.dial(host.upstream_host, AttemptLimits(now() + timedelta(seconds=timeout_s), SECOND))
 
 
 def read_first_data(sock: sockets.Transport) -> bytes:
--- a/vanegw/interface.py
+++ b/vanegw/interface.py
@@ -318,7 +318,12 @@
     token: str
 
 
-Event = BackendList | Request | Inherited | Opened | Note | Outcome | ClientGone | ProbeResult | TimerFired
+@dataclass(slots=True, frozen=True)
+class Shutdown:
+    """The balancer is about to end: from now on each request is answered as soon as no attempt of it is out."""
+
+
+Event = BackendList | Request | Inherited | Opened | Note | Outcome | ClientGone | ProbeResult | TimerFired | Shutdown
 
 
 # Actions, which the caller carries out.
--- a/vanegw/recording.py
+++ b/vanegw/recording.py
@@ -140,6 +140,8 @@
 
     def _give_up_reason(self, tracked: TrackedRequest) -> str:
         """Why a request gets no (further) attempt, as a part of a counter's name."""
+        if self.is_shutting_down:
+            return "shutdown"
         if self.now_us >= tracked.deadline_us:
             return "late"
         if tracked.attempted:
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -184,6 +184,7 @@
         self.load_poll_scheduled = False
         self.tenant_connections: Counter[str | None] = Counter()  # own open connections of each tenant
         self.timeout_rate = 0.0  # share of the latest attempts that timed out or were shed
+        self.is_shutting_down = False
         self.now_us = 0
         self.actions: list[api.Action] = []
         self.handlers: dict[type, Callable[..., None]] = {
@@ -196,6 +197,7 @@
             api.ClientGone: self._on_client_gone,
             api.ProbeResult: self._on_probe_result,
             api.TimerFired: self._on_timer_fired,
+            api.Shutdown: self._on_shutdown,
         }
 
     def reconfigure(self, settings: api.Settings) -> None:
@@ -275,7 +277,8 @@
             self.recent_returns.record(client, self.now_us)
         tracked.may_use_cold = self._cold_budget_remains()
         refusal_share = MAX_CONGESTION_REFUSAL_SHARE * self.timeout_rate**2
-        if self._exceeds_quota(event.tenant) or self.random.random() < refusal_share:
+        is_refused = self._exceeds_quota(event.tenant) or self.random.random() < refusal_share
+        if is_refused or self.is_shutting_down:
             self._give_up(tracked)
         else:
             self._choose_sample(tracked)
@@ -692,7 +695,8 @@
         # Where everything times out, a retry only adds to the congestion.
         is_congested = self.random.random() < self.timeout_rate**2
         attempts_used_up = len(tracked.attempted) >= self.settings.try_limit
-        if is_congested or attempts_used_up or remaining_us < min_remaining_us:
+        is_last = attempts_used_up or self.is_shutting_down
+        if is_congested or is_last or remaining_us < min_remaining_us:
             self._give_up(tracked)
         else:
             # Healthy backends come first again, also when this attempt went to a masked one.
@@ -800,6 +804,13 @@
         if waiting_id in self.awaiting_probes:
             self._place_request(self.requests[waiting_id])
 
+    def _on_shutdown(self, event: api.Shutdown) -> None:
+        """Answer the requests that wait without an attempt; the others are answered when their attempts end."""
+        self.is_shutting_down = True
+        for tracked in list(self.requests.values()):
+            if not tracked.attempt_pending:
+                self._give_up(tracked)
+
     def _set_timer(self, delay_us: int, token: str) -> None:
         self.actions.append(api.SetTimer(max(1, delay_us), token))
 
