A repeat of a keyed request is not sent after its window if its connection is late

What callers saw: an edit ran twice.

Cause: the module checks the window when it chooses a server; nothing carried its end to the code that dials for up to connect_timeout and then checks the list alone. A TLS handshake, a late INFO and a thread that is held up lie in the same gap. Besides, the window began at the outcome less the time it took, later than the choice by the outcome's delay.

Evidence: the choice at 0.33 s, a connection that came up after 1.033 s, the repeat's first byte at 1.328 s.

Change: an attempt names the time by which its first byte must be sent (Attempt.send_by_us). It limits the connect, the wait for the handshake budget, the handshake and the wait for INFO, and is checked under the send guard, right before the first byte: the one place that every wire passes. An attempt that misses it ends as NOT_SENT, which masks no server, and the request is refused or fails by rule 2. The window begins when the first attempt is chosen.

The test of scopes let 60 s pass between an attempt and its outcome of 1 ms, which now ends the window, as it should; they pass before the attempt now, and each repeat is checked as before. The property tests check the limit of each attempt.

--- a/bramblestile/life.py
+++ b/bramblestile/life.py
@@ -213,7 +213,12 @@
     if host is None or not context.cluster.accepts_requests(host):
         return NotEstablished(Status.NO_ROUTE)
     context.counters.add("upstream_requests")
-    limits = AttemptLimits(from_microseconds(choice.until_us), context.connect_timeout, context.interrupt)
+    limits = AttemptLimits(
+        from_microseconds(choice.until_us),
+        context.connect_timeout,
+        context.interrupt,
+        None if choice.send_by_us is None else from_microseconds(choice.send_by_us),
+    )
     return downstream.upstream_request(partial(context.dial, host), limits, partial(context.cluster.guard_send, host))
 
 
--- a/bramblestile/protocol.py
+++ b/bramblestile/protocol.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 from typing import Protocol
 
+from bramblestile.clock import now
 from bramblestile.memory.cluster import UpstreamHost
 from bramblestile.memory.connections import ProxiedConnection
 from bramblestile.sockets import Signal, Transport
@@ -54,12 +55,34 @@
 class AttemptLimits:
     """The time limits of one upstream request: it must be answered before ``until``.
 
-    ``connect_timeout`` limits the TCP connect. ``interrupt`` ends all waits at once, as if the time were over.
+    ``connect_timeout`` limits the TCP connect. ``interrupt`` ends all waits at once, as if the time were over. The
+    first byte must be written before ``send_by``; None: it has no limit of its own.
     """
 
     until: timedelta
     connect_timeout: timedelta
     interrupt: Signal | None = None
+    send_by: timedelta | None = None
+
+    @property
+    def first_byte_until(self) -> timedelta:
+        """Until when dialling, and what else precedes the first byte, may take."""
+        return self.until if self.send_by is None else min(self.until, self.send_by)
+
+    @property
+    def connect_limit(self) -> timedelta:
+        """How long a TCP connect that begins now may take."""
+        return min(self.connect_timeout, self.first_byte_until - now())
+
+    @property
+    def may_send(self) -> bool:
+        """Whether the first byte may still be written."""
+        return self.send_by is None or now() < self.send_by
+
+    @property
+    def unsent_status(self) -> Status:
+        """How the upstream request ends if its first byte was not written: by its own limit, or by the host."""
+        return Status.NO_ROUTE if self.may_send else Status.NOT_SENT
 
 
 class Downstream(Protocol):
@@ -80,7 +103,7 @@
     def upstream_request(self, dial: Dial, limits: AttemptLimits, send_guard: SendGuard) -> UpstreamAnswer:
         """Make one upstream request within its time limits.
 
-        ``send_guard`` is held after dialling, while the first bytes are written.
+        ``send_guard`` is held after dialling, while the first bytes are written; ``limits.may_send`` is checked there.
         """
 
 
@@ -90,8 +113,8 @@
     def __call__(self, limits: AttemptLimits) -> Transport:
         """Return a connected socket, or a channel over it.
 
-        Everything that precedes the first byte of the request must be done before ``limits.until``. Raises OSError; a
-        DialError tells whether the host was contacted.
+        Everything that precedes the first byte of the request must be done before ``limits.first_byte_until``. Raises
+        OSError; a DialError tells whether the host was contacted.
         """
 
 
--- a/bramblestile/tls/dialer.py
+++ b/bramblestile/tls/dialer.py
@@ -150,7 +150,11 @@
         with self._lock:
             cached = self._sessions.acquire(key, at)
             wait = self._budget.reserve(
-                host.id, cached is not None, warmth, at, max(limits.until - at, ZERO_DURATION) / MAX_WAIT_DIVISOR
+                host.id,
+                cached is not None,
+                warmth,
+                at,
+                max(limits.first_byte_until - at, ZERO_DURATION) / MAX_WAIT_DIVISOR,
             )
             if wait is None and cached is not None and cached.single_use:
                 self._sessions.store(key, cached.session, cached.chain, at, cached.expires_at - at)
@@ -175,7 +179,7 @@
         limits: AttemptLimits,
     ) -> tuple[TlsChannel, HandshakeResult]:
         try:
-            sock = sockets.dial(host.address, min(limits.connect_timeout, limits.until - now()), limits.interrupt)
+            sock = sockets.dial(host.address, limits.connect_limit, limits.interrupt)
         except OSError:
             with self._lock:
                 self._budget.refund(host.id, cached is not None, self._clock())
@@ -193,7 +197,7 @@
                 channel.chain = cached.chain
             began_at = self._clock()
             channel.handshake(
-                min(limits.until, now() + self._config.handshake_timeout),
+                min(limits.first_byte_until, now() + self._config.handshake_timeout),
                 lambda chain: self._verify(trust_store, name, chain),
                 limits.interrupt,
             )
--- a/bramblestile/wire/common.py
+++ b/bramblestile/wire/common.py
@@ -7,7 +7,6 @@
 from datetime import timedelta
 
 from bramblestile import sockets
-from bramblestile.clock import now
 from bramblestile.memory.cluster import UpstreamHost
 from bramblestile.protocol import (
     AttemptLimits,
@@ -60,9 +59,9 @@
         try:
             upstream = dial(limits)
         except sockets.DialError as error:
-            return NotEstablished(Status.NOT_SENT if error.skipped else Status.NO_ROUTE, detail=str(error))
+            return NotEstablished(Status.NOT_SENT if error.skipped else limits.unsent_status, detail=str(error))
         except OSError:
-            return NotEstablished(Status.NO_ROUTE)
+            return NotEstablished(limits.unsent_status)
         answer: UpstreamAnswer | None = None
         try:
             answer = self._exchange(upstream, limits, send_guard)
@@ -76,4 +75,4 @@
 
 def dial_plain(host: UpstreamHost, limits: AttemptLimits) -> Transport:
     """Connect to an upstream host without TLS."""
-    return sockets.dial(host.address, min(limits.connect_timeout, limits.until - now()), limits.interrupt)
+    return sockets.dial(host.address, limits.connect_limit, limits.interrupt)
--- a/bramblestile/wire/lines.py
+++ b/bramblestile/wire/lines.py
@@ -217,6 +217,8 @@
             with send_guard() as allowed:
                 if not allowed:  # a host that began to drain during the dial must not get the request
                     return NotEstablished(Status.NO_ROUTE)
+                if not limits.may_send:
+                    return NotEstablished(Status.NOT_SENT)
                 sockets.write(
                     upstream, [self._open_line.line] if bound else self._open_line.for_upstream(limits.until - now())
                 )
--- a/bramblestile/wire/nats.py
+++ b/bramblestile/wire/nats.py
@@ -171,7 +171,7 @@
     """Read the INFO that a host sends in plain text before TLS begins. Raises DialError."""
     reader = LineReader(transport, MAX_LINE_BYTES * 4)
     try:
-        line = reader.line(max(limits.until - now(), ZERO_DURATION), interrupt=limits.interrupt)
+        line = reader.line(max(limits.first_byte_until - now(), ZERO_DURATION), interrupt=limits.interrupt)
     except TimeoutError:
         raise sockets.DialError("nats: no INFO in time") from None
     except sockets.LineTooLongError:
@@ -264,10 +264,11 @@
         sent = False
         while True:
             try:
-                remaining = max(limits.until - now(), ZERO_DURATION)
+                until = limits.until if sent else limits.first_byte_until
+                remaining = max(until - now(), ZERO_DURATION)
                 line = reader.line(remaining, abort_on=self._sock, interrupt=limits.interrupt)
             except TimeoutError:
-                return NotEstablished(Status.TIMED_OUT if sent else Status.NO_ROUTE)
+                return NotEstablished(Status.TIMED_OUT if sent else limits.unsent_status)
             except InterruptedError:
                 return NotEstablished(Status.CANCELLED, downstream_left=True)
             except (OSError, sockets.LineTooLongError):
@@ -285,6 +286,8 @@
                         with send_guard() as allowed:
                             if not allowed:
                                 return NotEstablished(Status.NO_ROUTE)
+                            if not limits.may_send:
+                                return NotEstablished(Status.NOT_SENT)
                             sockets.write(upstream, [self._connect, PING])
                     except OSError:
                         return NotEstablished(Status.NO_ROUTE)
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -94,6 +94,8 @@
             if earlier.status and earlier.status.request_may_have_run and request_class.effect is not api.Effect.SAFE:
                 assert request_class.effect is api.Effect.KEYED
                 assert self.now_us - earlier.sent_us < request_class.memory_span_us
+                assert action.send_by_us is not None
+                assert action.send_by_us <= earlier.sent_us + request_class.memory_span_us
                 first = self.listed[earlier.backend]
                 if request_class.dedup_scope is api.Scope.ZONE:
                     assert first.zone == target.zone
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -132,8 +132,8 @@
     driver.set_list(*(api.Backend(f"b{n}", zone=f"z{n % 2}", cell=n % 4) for n in range(12)))
     for _ in range(30):
         driver.balancer.timeout_rate = 0.0  # else arrivals are refused after a few time-outs
-        first = driver.place_request()
         driver.now_us += 60_000_000  # masks of the previous round have expired
+        first = driver.place_request()
         for again in actions_of(driver.end_attempt(first, api.Status.TIMED_OUT), api.Attempt):
             first_number, second_number = int(first.backend[1:]), int(again.backend[1:])
             step = {api.Scope.ALL: 1, api.Scope.ZONE: 2, api.Scope.CELL: 4}[scope]
@@ -150,6 +150,19 @@
     assert [type(a) for a in driver.handle(late)] == [api.Fail]
 
 
+def test_repeat_of_a_keyed_request_names_the_end_of_its_memory_span() -> None:
+    """Guards against a repeat that is sent too late, and against a window that begins after the first send."""
+    driver = BalancerDriver(keyed_settings(api.Scope.ALL), seed=2)  # seed 1 draws a refusal for congestion
+    driver.set_list(*make_backends(6))
+    first = driver.place_request()
+    assert first.send_by_us is None
+    sent_at_us = driver.now_us
+    driver.now_us += 300_000
+    late_report = api.Outcome(first.id, 0, first.backend, api.Status.TIMED_OUT, 200_000, finished=False)
+    (again,) = actions_of(driver.answer_probes(driver.handle(late_report)), api.Attempt)
+    assert again.send_by_us == sent_at_us + 1_000_000
+
+
 # Rule 3: a backend that is not running gets nothing new.
 
 
--- a/vanegw/interface.py
+++ b/vanegw/interface.py
@@ -331,11 +331,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Attempt:
-    """Send the request to a backend, and abandon that attempt at ``until_us``."""
+    """Send the request to a backend, and abandon that attempt at ``until_us``.
+
+    From ``send_by_us`` on its first byte must not be sent any more, because the backend would not recognise the repeat;
+    the attempt then ends as NOT_SENT. None: no such limit.
+    """
 
     id: str
     backend: str
     until_us: int
+    send_by_us: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -373,10 +373,12 @@
         timeout_us = int(min(remaining_us, tracked.request_class.objective_us * objectives))
         tracked.attempted.append(name)
         tracked.attempt_pending = True
+        tracked.attempt_started_at_us = self.now_us
         backend.unreported_placements_us.append(self.now_us)
         if self._warmth(backend) < 1:
             self.cold_attempts_us.append(self.now_us)
-        self.actions.append(api.Attempt(tracked.request.id, name, self.now_us + max(timeout_us, 1)))
+        until_us = self.now_us + max(timeout_us, 1)
+        self.actions.append(api.Attempt(tracked.request.id, name, until_us, self._repeat_until_us(tracked)))
 
     # Weights.
 
@@ -485,12 +487,12 @@
 
     def _may_repeat_on(self, backend: BackendState, tracked: TrackedRequest) -> bool:
         """Apply rule 2 of this module: a keyed request that may have run goes only where its repeat is recognised."""
-        if tracked.first_run_backend is None or tracked.request_class.effect is api.Effect.SAFE:
+        first = tracked.first_run_backend
+        if first is None or tracked.request_class.effect is api.Effect.SAFE:
             return True
-        elapsed_us = self.now_us - tracked.started_at_us
-        if tracked.request_class.effect is api.Effect.UNSAFE or elapsed_us >= tracked.request_class.memory_span_us:
+        repeat_until_us = self._repeat_until_us(tracked)
+        if repeat_until_us is None or self.now_us >= repeat_until_us:
             return False
-        first = tracked.first_run_backend
         candidate = backend.info
         in_scope = {
             Scope.ALL: True,
@@ -499,6 +501,12 @@
         }
         return in_scope[tracked.request_class.dedup_scope]
 
+    def _repeat_until_us(self, tracked: TrackedRequest) -> int | None:
+        """Return when backends forget a keyed request that may have run; None for any other request."""
+        if tracked.first_run_backend is None or tracked.request_class.effect is not api.Effect.KEYED:
+            return None
+        return tracked.started_at_us + tracked.request_class.memory_span_us
+
     def _sample_backends(self, tracked: TrackedRequest) -> list[str]:
         """Choose a sample: a group's own backends at first, then any, and at last those that fail but still answer."""
         self._refresh_weights()
@@ -669,7 +677,7 @@
         # Backends drop repeats of a keyed request for a limited time, which counts from when it may first have run.
         if event.status.request_may_have_run and tracked.first_run_backend is None:
             tracked.first_run_backend = backend.info if backend else api.Backend(event.backend)
-            tracked.started_at_us = self.now_us - event.took_us
+            tracked.started_at_us = tracked.attempt_started_at_us
         self._retry(tracked)
 
     def _update_timeout_rate(self, timed_out_or_shed: bool) -> None:
