A keyed request stays in the scope in which it was sent when its server leaves the list

What callers would see: a request whose repeats are recognised in one zone or cell only runs twice, in two of them.

A server that had left the list by then counted as one of zone "" and cell 0, one that was listed anew by its new values.

Evidence: one server of cell 3, removed before its attempt times out: the module chose a server of cell 0 for the repeat.

Change: an attempt keeps its server's entry as it was listed when the attempt was chosen.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -163,6 +163,28 @@
     assert again.send_by_us == sent_at_us + 1_000_000
 
 
+@pytest.mark.parametrize("scope", [api.Scope.ZONE, api.Scope.CELL])
+@pytest.mark.parametrize("later_state", [{"state": api.State.GONE}, {"zone": "z1", "cell": 5, "started_us": 5}])
+def test_keyed_request_stays_in_the_scope_in_which_it_was_sent(scope: api.Scope, later_state: dict[str, Any]) -> None:
+    """Guards against a repeat in another scope after the first backend was removed or listed anew with other values."""
+    driver = BalancerDriver(keyed_settings(scope), seed=2)
+    first_listed = api.Backend("b0", zone="z0", cell=3)
+    driver.set_list(first_listed)
+    first = driver.place_request()
+    same = api.Backend("same", zone="z0", cell=3)
+    others = (api.Backend("unset"), api.Backend("moved", zone="z1", cell=5))
+    driver.set_list(replace(first_listed, **later_state), *others, mode=api.ListMode.CHANGES)
+    driver.now_us += 10_000
+    actions = driver.end_attempt(first, api.Status.TIMED_OUT)
+    assert actions_of(actions, api.Attempt) == [] and final_answers(actions) == [api.Fail(first.id)]
+    driver.now_us += 60_000_000
+    driver.set_list(first_listed)
+    first = driver.place_request()
+    driver.set_list(replace(first_listed, **later_state), *others, same, mode=api.ListMode.CHANGES)
+    (again,) = actions_of(driver.end_attempt(first, api.Status.TIMED_OUT), api.Attempt)
+    assert again.backend == "same"
+
+
 # Rule 3: a backend that is not running gets nothing new.
 
 
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -374,6 +374,7 @@
         tracked.attempted.append(name)
         tracked.attempt_pending = True
         tracked.attempt_started_at_us = self.now_us
+        tracked.attempt_backend = backend.info
         backend.unreported_placements_us.append(self.now_us)
         if self._warmth(backend) < 1:
             self.cold_attempts_us.append(self.now_us)
@@ -676,7 +677,7 @@
             return
         # Backends drop repeats of a keyed request for a limited time, which counts from when it may first have run.
         if event.status.request_may_have_run and tracked.first_run_backend is None:
-            tracked.first_run_backend = backend.info if backend else api.Backend(event.backend)
+            tracked.first_run_backend = tracked.attempt_backend
             tracked.started_at_us = tracked.attempt_started_at_us
         self._retry(tracked)
 
--- a/vanegw/state.py
+++ b/vanegw/state.py
@@ -49,6 +49,7 @@
     attempted: list[str] = field(default_factory=list)  # names of the backends tried, one for each attempt
     attempt_pending: bool = False
     attempt_started_at_us: int = 0  # when the latest attempt was chosen, before anything was sent
+    attempt_backend: api.Backend | None = None  # its backend, as it was listed then
     first_run_backend: api.Backend | None = None  # the first backend on which the request may have run
     started_at_us: int = 0  # when it may first have run, or when its connection opened
     is_open: bool = False
