The end of the process has a module of its own, and one guard decides about the first byte

Change: process/shutdown.py holds what happens between the signal and the exit, process/mover.py the moves that orders and the stop share. The send guard yields how an attempt ends that must not be sent, so the wires ask one thing. The tests share daemon_process. Behaviour is the same. The test of the stop also expects the answer of its slow client.

--- a/bramblestile/life.py
+++ b/bramblestile/life.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
-from contextlib import nullcontext
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, nullcontext
 from datetime import timedelta
 from functools import partial
 from typing import Protocol
 
 from bramblestile.clock import ZERO_DURATION, now
 from bramblestile.log import Log
-from bramblestile.memory.cluster import Cluster
+from bramblestile.memory.cluster import Cluster, UpstreamHost
 from bramblestile.memory.connections import ConnectionObserver, Connections, PauseSignal, ProxiedConnection
 from bramblestile.memory.counters import Counters
 from bramblestile.memory.decisions import ActiveRequest, Decisions, from_microseconds, to_microseconds
@@ -219,7 +219,21 @@
         context.interrupt,
         None if choice.send_by_us is None else from_microseconds(choice.send_by_us),
     )
-    return downstream.upstream_request(partial(context.dial, host), limits, partial(context.cluster.guard_send, host))
+    return downstream.upstream_request(
+        partial(context.dial, host), limits, partial(_guard_send, context.cluster, host, limits)
+    )
+
+
+@contextmanager
+def _guard_send(cluster: Cluster, host: UpstreamHost, limits: AttemptLimits) -> Iterator[Status | None]:
+    """Hold a send in progress, as ``SendGuard`` says: the host and the time are checked right before the first byte."""
+    with cluster.guard_send(host) as is_accepted:
+        if not is_accepted:  # the host began to drain during the dial, say
+            yield Status.NO_ROUTE
+        elif not limits.may_send:
+            yield Status.NOT_SENT
+        else:
+            yield None
 
 
 def _establish(
@@ -324,7 +338,7 @@
         else downstream.upstream_request(
             partial(context.dial, host),
             AttemptLimits(sent + client_request.timeout, client_request.timeout, context.interrupt),
-            partial(nullcontext, True),
+            partial(nullcontext, None),
         )
     )
     at = now()
--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -25,7 +25,6 @@
 from bramblestile.clock import ZERO_DURATION, now
 from bramblestile.life import adopt_connection
 from bramblestile.log import Log
-from bramblestile.memory.connections import ProxiedConnection
 from bramblestile.memory.counters import Counters
 from bramblestile.operations.connection_codec import decode_connection
 from bramblestile.operations.handoff import ProcessHandoff
@@ -45,6 +44,8 @@
 )
 from bramblestile.process.front import Front, LineFront, NatsFront, naming_key
 from bramblestile.process.listeners import Listener, adopt_listening_socket
+from bramblestile.process.mover import MOVE_TICK, ConnectionMover
+from bramblestile.process.shutdown import Shutdown
 from bramblestile.tracing import Tracer, TracerHandle
 from bramblestile.wire import agent
 from vanegw.interface import State
@@ -59,16 +60,6 @@
 
 THREAD_STACK_BYTES = 192 * 1024  # two threads for each established connection must fit the memory limit
 HANDLED_SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
-# After SIGTERM the platform's front goes on sending requests for up to 0.4 s. SIGKILL follows no sooner than the
-# longest deadline, of which at most 3 s count, plus 0.7 s.
-ACCEPT_AFTER_SIGTERM = timedelta(milliseconds=600)
-MAX_DEADLINE = timedelta(seconds=3)
-EXIT_AFTER_DEADLINE = timedelta(milliseconds=600)  # the exit comes this long after the longest deadline
-ANSWERS_END_BEFORE_EXIT = timedelta(milliseconds=200)  # then every request is answered, however long it might wait
-STOP_MOVES_START = timedelta(milliseconds=450)  # earlier, the front might send a moved client here again
-STOP_MOVES_END_BEFORE_EXIT = timedelta(milliseconds=350)  # by then all clients have been told to move
-# With a successor, only those connections are moved that it could not adopt. All others have reached it by then.
-STOP_MOVES_START_WITH_SUCCESSOR = timedelta(milliseconds=700)
 STATE_TRANSFER_TIMEOUT = timedelta(milliseconds=500)  # for the predecessor to send what its decisions have learned
 # At the signal to stop, for the ready message of a successor that is connected.
 SUCCESSOR_READY_TIMEOUT = timedelta(milliseconds=300)
@@ -81,10 +72,6 @@
 SUSPEND_MOVES_START, SUSPEND_MOVES_END = timedelta(milliseconds=200), timedelta(milliseconds=2000)
 SUSPEND_MOVES_MEAN = (SUSPEND_MOVES_START + SUSPEND_MOVES_END) / 2  # a client reconnects only after it is moved
 ORDERS_POLL_INTERVAL = timedelta(milliseconds=100)  # for orders that another process of this balancer has received
-MOVE_TICK = timedelta(milliseconds=20)  # between two checks of which connections are due to move
-LAST_ANSWERS_TIMEOUT = timedelta(milliseconds=80)  # after the exit was due; SIGKILL comes 0.1 s after that
-ANSWER_CHECK_INTERVAL = timedelta(milliseconds=5)
-MAX_LOGGED_IDS = 5
 TRACE_RESTART_TIMEOUT = timedelta(seconds=2)  # for the old recorder to write what it holds
 
 
@@ -193,6 +180,7 @@
         self.lines = None if config.lines is None else LineFront(config.lines, self.counters, self.tracing)
         self.nats = None if config.nats is None else NatsFront(config.nats, self.counters, self.tracing)
         self.fronts: list[Front] = [front for front in (self.lines, self.nats) if front is not None]
+        self._mover = ConnectionMover(self.fronts, self.tracing)
         self.ready = threading.Event()
         self._import_lock = threading.Lock()
         self._early_state: list[dict[str, Any]] | None = []  # from the predecessor, until it can be imported
@@ -410,7 +398,7 @@
                 self._schedules_changed.wait()
                 self._schedules_changed.clear()
             for (host, _), schedule in self._move_schedules.items():
-                self._move_due(schedule, "drain" if host is None else "out", host)
+                self._mover.move_due(schedule, "drain" if host is None else "out", host)
             time.sleep(MOVE_TICK.total_seconds())
 
     def reconfigure(self, config: Config) -> None:
@@ -461,7 +449,7 @@
     def stop_trace(self) -> None:
         """End the trace; called last, so that the trace contains what the stop did."""
         if self.recorder is not None:
-            self.recorder.process_stopped(now(), len(self._all_connections()))
+            self.recorder.process_stopped(now(), len(self._mover.connections()))
             self.recorder.stop()
 
     def _make_store(self, config: StoreConfig, seed: int) -> None:
@@ -514,12 +502,12 @@
 
     def connection_count(self) -> int:
         """Return the number of all established connections."""
-        return len(self._all_connections())
+        return len(self._mover.connections())
 
     def connections(self, hosts: Iterable[str]) -> dict[str, int]:
         """Return the number of established connections to each of these hosts, without those that have none."""
         wanted, counts = set(hosts), dict[str, int]()
-        for connection in self._all_connections():
+        for connection in self._mover.connections():
             if connection.host in wanted:
                 counts[connection.host] = counts.get(connection.host, 0) + 1
         return counts
@@ -616,90 +604,11 @@
             self.gossip.stop()
         self.is_shutting_down = True  # reported at once; downstreams are still accepted
         has_successor = self.handoff is not None and self.handoff.wait_for_ready(SUCCESSOR_READY_TIMEOUT)
-        listeners = [front.listener for front in self.fronts if front.listener is not None]
-        exit_at = began + self.max_deadline() + EXIT_AFTER_DEADLINE
-        threading.Thread(
-            target=self._end_requests,
-            args=(
-                listeners,
-                now() + (ZERO_DURATION if has_successor else ACCEPT_AFTER_SIGTERM),
-                exit_at - ANSWERS_END_BEFORE_EXIT,
-            ),
-            name="closing",
-            daemon=True,
-        ).start()
+        shutdown = Shutdown(self.fronts, self._mover, self.counters, began, has_successor)
+        shutdown.start()
         if has_successor and self.handoff is not None:
             self.handoff.hand_over_all()
-        # Moved clients reconnect at once: the moves are spread over all the time there is, to avoid a burst.
-        schedule = MoveSchedule(
-            began + (STOP_MOVES_START_WITH_SUCCESSOR if has_successor else STOP_MOVES_START),
-            exit_at - STOP_MOVES_END_BEFORE_EXIT,
-        )
-        self._move_until(exit_at, schedule, listeners)
-        self._wait_for_answers()
-        self._report_unanswered()
-
-    def _move_until(self, exit_at: timedelta, schedule: MoveSchedule, listeners: list[Listener]) -> None:
-        """Move connections until the exit is due, or until nothing is open any more."""
-        while True:
-            # Before the test of the time: a process that was held up until after its exit still tells all clients.
-            self._move_due(schedule, "stop")
-            at = now()
-            if at >= exit_at or (at >= schedule.starts_at and not any(listener.active_count for listener in listeners)):
-                return
-            time.sleep(MOVE_TICK.total_seconds())
-
-    def _wait_for_answers(self) -> None:
-        """Wait until all requests are answered, also in a process that was held up until after its exit was due."""
-        until = now() + LAST_ANSWERS_TIMEOUT
-        while self._unanswered() and now() < until:
-            for front in self.fronts:
-                front.answer_all()
-            time.sleep(ANSWER_CHECK_INTERVAL.total_seconds())
-
-    def _move_due(self, schedule: MoveSchedule, reason: str, host: str | None = None) -> None:
-        """Move the connections that are due by now, of one host or of all (None)."""
-        at = now()
-        remaining = [
-            connection
-            for connection in self._all_connections()
-            if host in (None, connection.host)
-            and not (connection.moved or connection.paused or (connection.move_requested and at < schedule.ends_at))
-        ]
-        for connection in schedule.due(at, remaining):
-            self._move(connection, reason)
-
-    def _move(self, connection: ProxiedConnection, reason: str) -> None:
-        already_moved = connection.moved or connection.move_requested
-        if connection.move(MOVE_TICK) and not already_moved:
-            self.tracing.current.connection_moved(now(), connection.id, connection.host, reason)
-
-    def _end_requests(self, listeners: list[Listener], accept_until: timedelta, answer_at: timedelta) -> None:
-        """Accept no more downstreams from the first time on, and have all requests answered at the second."""
-        time.sleep(max(accept_until - now(), ZERO_DURATION).total_seconds())
-        for listener in listeners:
-            listener.stop()
-        time.sleep(max(answer_at - now(), ZERO_DURATION).total_seconds())
-        for front in self.fronts:
-            front.answer_all()
-
-    def _unanswered(self) -> list[str]:
-        return [request_id for front in self.fronts for request_id in front.decisions.waiting_ids()]
-
-    def _report_unanswered(self) -> None:
-        """Count and log the requests that the process ends without an answer to."""
-        unanswered = self._unanswered()
-        if unanswered:
-            self.counters.add("unanswered_at_exit", len(unanswered))
-            self.log.error("unanswered", count=len(unanswered), ids=unanswered[:MAX_LOGGED_IDS])
-
-    def max_deadline(self) -> timedelta:
-        """Return the longest deadline of all request classes, at most ``MAX_DEADLINE``."""
-        longest = max(c.deadline_us for front in self.fronts for c in front.config.settings.classes)
-        return min(timedelta(microseconds=longest), MAX_DEADLINE)
-
-    def _all_connections(self) -> list[ProxiedConnection]:
-        return [connection for front in self.fronts for connection in front.connections.all()]
+        shutdown.run()
 
 
 def reload(daemon: Daemon, arguments: list[str]) -> None:
--- a/bramblestile/protocol.py
+++ b/bramblestile/protocol.py
@@ -103,7 +103,7 @@
     def upstream_request(self, dial: Dial, limits: AttemptLimits, send_guard: SendGuard) -> UpstreamAnswer:
         """Make one upstream request within its time limits.
 
-        ``send_guard`` is held after dialling, while the first bytes are written; ``limits.may_send`` is checked there.
+        ``send_guard`` is held after dialling, while the first bytes are written.
         """
 
 
@@ -125,8 +125,8 @@
 class SendGuard(Protocol):
     """Creates the context manager that is held while the first bytes of an upstream request are written.
 
-    It yields whether they may still be sent.
+    It yields None, or how the upstream request ends because they may not be sent any more.
     """
 
-    def __call__(self) -> AbstractContextManager[bool]:
+    def __call__(self) -> AbstractContextManager[Status | None]:
         """Return a new context manager."""
--- a/bramblestile/wire/lines.py
+++ b/bramblestile/wire/lines.py
@@ -214,11 +214,9 @@
         # The line of a bound connection is sent unchanged: the host knows the connection by it.
         bound = self._request.bound_to is not None
         try:
-            with send_guard() as allowed:
-                if not allowed:  # a host that began to drain during the dial must not get the request
-                    return NotEstablished(Status.NO_ROUTE)
-                if not limits.may_send:
-                    return NotEstablished(Status.NOT_SENT)
+            with send_guard() as refusal:
+                if refusal is not None:
+                    return NotEstablished(refusal)
                 sockets.write(
                     upstream, [self._open_line.line] if bound else self._open_line.for_upstream(limits.until - now())
                 )
--- a/bramblestile/wire/nats.py
+++ b/bramblestile/wire/nats.py
@@ -283,11 +283,9 @@
                     return NotEstablished(Status.CANCELLED if sent else Status.NO_ROOM, host_drains=True)
                 if not sent:
                     try:
-                        with send_guard() as allowed:
-                            if not allowed:
-                                return NotEstablished(Status.NO_ROUTE)
-                            if not limits.may_send:
-                                return NotEstablished(Status.NOT_SENT)
+                        with send_guard() as refusal:
+                            if refusal is not None:
+                                return NotEstablished(refusal)
                             sockets.write(upstream, [self._connect, PING])
                     except OSError:
                         return NotEstablished(Status.NO_ROUTE)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import copy
 import json
 import os
@@ -11,6 +12,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -118,6 +120,21 @@
         config.parse_config(values)
 
 
+@contextlib.contextmanager
+def daemon_process(config_path: Path) -> Iterator[subprocess.Popen[str]]:
+    """Run a daemon with this configuration file, and kill it in the end."""
+    with subprocess.Popen(
+        [sys.executable, "-m", "bramblestile"],
+        stderr=subprocess.PIPE,
+        text=True,
+        env=os.environ | {"EDGE_CONFIG": str(config_path)},
+    ) as process:
+        try:
+            yield process
+        finally:
+            process.kill()
+
+
 def test_daemon_serves_logs_its_counters_and_moves_all_clients_at_the_stop(tmp_path: Path) -> None:
     """A planned restart: established connections are told to move, and the exit comes before SIGKILL would."""
     with socket.create_server(("127.0.0.1", 0)) as host, socket.create_server(("127.0.0.1", 0)) as free:
@@ -130,39 +147,32 @@
         path = tmp_path / "config.json"
         listen = "{}:{}".format(*address)
         path.write_text(json.dumps({"listen": listen, "settings": SETTINGS, "known": known}))
-        with subprocess.Popen(
-            [sys.executable, "-m", "bramblestile"],
-            stderr=subprocess.PIPE,
-            text=True,
-            env=os.environ | {"EDGE_CONFIG": str(path)},
-        ) as process:
-            try:
-                client = connect(address, process)
-                client.sock.sendall(b"PING\r\n")
-                assert client.line() == "PONG"
-                client.sock.sendall(b"OPEN 1 2 c=feed,d=1500\r\n")
-                upstream = Peer(host.accept()[0])
-                assert upstream.line().startswith("OPEN 1 2 c=feed,d=")
-                upstream.sock.sendall(b"UP r\r\n")
-                assert client.line() == "UP r"
-                assert process.stderr is not None
-                process.send_signal(signal.SIGUSR1)
-                assert json.loads(process.stderr.readline())["answered_served"] == 1
-                signalled_at = time.monotonic()
-                process.send_signal(signal.SIGTERM)
-                # The platform's front sends requests for a moment after SIGTERM.
-                late_client = Peer(socket.create_connection(address))
-                late_client.sock.sendall(b"OPEN 2 2 c=feed,d=1500\r\n")
-                late_upstream = Peer(host.accept()[0])
-                late_upstream.sock.sendall(b"UP s\r\n")
-                slow_client = Peer(socket.create_connection(address))
-                slow_client.sock.sendall(b"OPEN 3 2 c=feed,d=9000\r\n")  # longer than any deadline that delays SIGKILL
-                assert [late_client.line(), late_client.line(), client.line()] == ["UP s", "MOVE", "MOVE"]
-                assert process.wait(5) == 0
-                assert time.monotonic() - signalled_at < 1.5 + 0.7 + 0.4  # 0.4 s: tolerance for a busy machine
-                assert json.loads(process.stderr.readlines()[-1])["moved"] == 2
-            finally:
-                process.kill()
+        with daemon_process(path) as process:
+            client = connect(address, process)
+            client.sock.sendall(b"PING\r\n")
+            assert client.line() == "PONG"
+            client.sock.sendall(b"OPEN 1 2 c=feed,d=1500\r\n")
+            upstream = Peer(host.accept()[0])
+            assert upstream.line().startswith("OPEN 1 2 c=feed,d=")
+            upstream.sock.sendall(b"UP r\r\n")
+            assert client.line() == "UP r"
+            assert process.stderr is not None
+            process.send_signal(signal.SIGUSR1)
+            assert json.loads(process.stderr.readline())["answered_served"] == 1
+            signalled_at = time.monotonic()
+            process.send_signal(signal.SIGTERM)
+            # The platform's front sends requests for a moment after SIGTERM.
+            late_client = Peer(socket.create_connection(address))
+            late_client.sock.sendall(b"OPEN 2 2 c=feed,d=1500\r\n")
+            late_upstream = Peer(host.accept()[0])
+            late_upstream.sock.sendall(b"UP s\r\n")
+            slow_client = Peer(socket.create_connection(address))
+            slow_client.sock.sendall(b"OPEN 3 2 c=feed,d=9000\r\n")  # longer than any deadline that delays SIGKILL
+            assert [late_client.line(), late_client.line(), client.line()] == ["UP s", "MOVE", "MOVE"]
+            assert slow_client.line().startswith("BUSY")
+            assert process.wait(5) == 0
+            assert time.monotonic() - signalled_at < 1.5 + 0.7 + 0.4  # 0.4 s: tolerance for a busy machine
+            assert json.loads(process.stderr.readlines()[-1])["moved"] == 2
 
 
 @pytest.mark.parametrize(
@@ -224,49 +234,39 @@
     }
     path = tmp_path / "config.json"
     path.write_text(json.dumps(values))
-    with subprocess.Popen(
-        [sys.executable, "-m", "bramblestile"],
-        stderr=subprocess.PIPE,
-        text=True,
-        env=os.environ | {"EDGE_CONFIG": str(path)},
-    ) as process:
-        try:
-            assert process.stderr is not None
-            client = connect(address, process)
-            client.sock.sendall(b"OPEN 1 2 c=feed,d=1500\r\n")
-            upstream = Peer(host.accept()[0])
-            upstream.line()
-            upstream.sock.sendall(b"UP r\r\n")
-            assert client.line() == "UP r"
-            old_watch = Peer(old.accept()[0])
-            assert old_watch.line().startswith("GET /v1/servers?since=4&")
-
-            def reload(changed: dict[str, Any], expected: str) -> None:
-                path.write_text(json.dumps(values | changed))
-                process.send_signal(signal.SIGHUP)
-                assert process.stderr is not None
-                while (line := json.loads(process.stderr.readline()))["event"] != "reload":
-                    pass
-                assert re.match(expected, line["text"]), line
+    with host, old, new, daemon_process(path) as process:
+        assert process.stderr is not None
+        client = connect(address, process)
+        client.sock.sendall(b"OPEN 1 2 c=feed,d=1500\r\n")
+        upstream = Peer(host.accept()[0])
+        upstream.line()
+        upstream.sock.sendall(b"UP r\r\n")
+        assert client.line() == "UP r"
+        old_watch = Peer(old.accept()[0])
+        assert old_watch.line().startswith("GET /v1/servers?since=4&")
 
-            reload({"discovery": "nowhere"}, "kept as it was: discovery: ")
-            reload({"settings": {"classes": [7]}}, r"kept as it was: settings\.")
-            reload({"discovery": endpoint[new]}, "done")
-            new_watch = Peer(new.accept()[0])
-            assert new_watch.line() == "GET /v1/servers HTTP/1.1"  # without the version of the old discovery
-            while old_watch.receive():
-                pass  # the rest of the waiting request, then the end of the connection
-            empty_list = json.dumps({"seq": 1, "whole": True, "hosts": []})
-            new_watch.sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(empty_list)}\r\n\r\n{empty_list}".encode())
-            while not new_watch.line().startswith("GET /v1/servers?since=1&"):
+        def reload(changed: dict[str, Any], expected: str) -> None:
+            path.write_text(json.dumps(values | changed))
+            process.send_signal(signal.SIGHUP)
+            assert process.stderr is not None
+            while (line := json.loads(process.stderr.readline()))["event"] != "reload":
                 pass
-            late_client = connect(address, process)
-            late_client.sock.sendall(b"OPEN 2 2 c=feed,d=1500\r\n")
-            assert late_client.line().startswith("BUSY")
-            client.sock.sendall(b"still here\r\n")
-            assert upstream.line() == "still here"
-            assert process.poll() is None
-        finally:
-            process.kill()
-            for sock in (host, old, new):
-                sock.close()
+            assert re.match(expected, line["text"]), line
+
+        reload({"discovery": "nowhere"}, "kept as it was: discovery: ")
+        reload({"settings": {"classes": [7]}}, r"kept as it was: settings\.")
+        reload({"discovery": endpoint[new]}, "done")
+        new_watch = Peer(new.accept()[0])
+        assert new_watch.line() == "GET /v1/servers HTTP/1.1"  # without the version of the old discovery
+        while old_watch.receive():
+            pass  # the rest of the waiting request, then the end of the connection
+        empty_list = json.dumps({"seq": 1, "whole": True, "hosts": []})
+        new_watch.sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(empty_list)}\r\n\r\n{empty_list}".encode())
+        while not new_watch.line().startswith("GET /v1/servers?since=1&"):
+            pass
+        late_client = connect(address, process)
+        late_client.sock.sendall(b"OPEN 2 2 c=feed,d=1500\r\n")
+        assert late_client.line().startswith("BUSY")
+        client.sock.sendall(b"still here\r\n")
+        assert upstream.line() == "still here"
+        assert process.poll() is None
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -4,11 +4,9 @@
 
 import contextlib
 import json
-import os
 import signal
 import socket
 import subprocess
-import sys
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -19,7 +17,7 @@
 
 from tests import scenario
 from tests.scenario import LINES, WIRES, Peer, Scenario
-from tests.test_process import connect
+from tests.test_process import connect, daemon_process
 from vanegw import rules
 
 MAX_DEADLINE_S = 0.5
@@ -71,16 +69,8 @@
         }
         path = tmp_path / "config.json"
         path.write_text(json.dumps(values))
-        with subprocess.Popen(
-            [sys.executable, "-m", "bramblestile"],
-            stderr=subprocess.PIPE,
-            text=True,
-            env=os.environ | {"EDGE_CONFIG": str(path)},
-        ) as process:
-            try:
-                yield StoppableBalancer(process, address, host)
-            finally:
-                process.kill()
+        with daemon_process(path) as process:
+            yield StoppableBalancer(process, address, host)
 
 
 @contextlib.contextmanager
@@ -121,6 +111,7 @@
         balancer.process.send_signal(signal.SIGTERM)
         assert client.line().startswith(answer)
         client.expect_end()
+        client.sock.close()
         assert balancer.process.wait(5) == 0
     assert time.monotonic() - signalled_at < SIGKILL_AFTER_S
     assert balancer.process.stderr is not None
