The log tells how long a stop took; tests of the stop leave SIGKILL to a process of its own

It noticed the exit 2.70 s after SIGTERM; the exit is due after 2.10 s, and 2.60 s were allowed. Neither the log nor the test could tell a late exit from a test that was held up.

Change: the event 'stopped' gives the time since the signal and by how much the exit is late. tests/planned_restart.py sends SIGTERM, and SIGKILL when the platform may (the longest deadline plus 0.7 s), from a process of its own, so a late exit shows as a status other than 0 and the log is in the message.

--- a/bramblestile/process/shutdown.py
+++ b/bramblestile/process/shutdown.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from datetime import timedelta
 
-from bramblestile.clock import ZERO_DURATION, now
+from bramblestile.clock import ZERO_DURATION, now, to_milliseconds
 from bramblestile.log import Log
 from bramblestile.memory.counters import Counters
 from bramblestile.operations.move_schedule import MoveSchedule
@@ -51,6 +51,7 @@
         self._mover = mover
         self._counters = counters
         self._log = Log()
+        self._began = began
         self._listeners = [front.listener for front in fronts if front.listener is not None]
         self._accept_until = now() + (ZERO_DURATION if has_successor else ACCEPT_AFTER_SIGTERM)
         self._exit_at = began + _longest_deadline(fronts) + EXIT_AFTER_DEADLINE
@@ -75,6 +76,7 @@
             time.sleep(MOVE_TICK.total_seconds())
         self._wait_for_answers()
         self._report_unanswered()
+        self._report_times()
 
     def _is_exit_due(self) -> bool:
         """Return whether the time is over, or nothing is open any more."""
@@ -110,6 +112,12 @@
             self._counters.add("unanswered_at_exit", len(unanswered))
             self._log.error("unanswered", count=len(unanswered), ids=unanswered[:MAX_LOGGED_IDS])
 
+    def _report_times(self) -> None:
+        """Log how long the stop has taken since the signal, and by how much the exit is late."""
+        at = now()
+        late = max(at - self._exit_at, ZERO_DURATION)
+        self._log.info("stopped", after_ms=to_milliseconds(at - self._began), late_ms=to_milliseconds(late))
+
 
 def _longest_deadline(fronts: Sequence[Front]) -> timedelta:
     """Return the longest deadline of all request classes, at most ``MAX_DEADLINE``."""
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -11,7 +11,6 @@
 import socket
 import subprocess
 import sys
-import time
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -19,6 +18,7 @@
 import pytest
 
 from bramblestile.process import config
+from tests.planned_restart import planned_restart
 from tests.scenario import Peer
 
 SETTINGS = {"classes": [{"name": "feed", "objective_us": 600_000, "deadline_us": 1_500_000}]}
@@ -159,20 +159,21 @@
             assert process.stderr is not None
             process.send_signal(signal.SIGUSR1)
             assert json.loads(process.stderr.readline())["answered_served"] == 1
-            signalled_at = time.monotonic()
-            process.send_signal(signal.SIGTERM)
-            # The platform's front sends requests for a moment after SIGTERM.
-            late_client = Peer(socket.create_connection(address))
-            late_client.sock.sendall(b"OPEN 2 2 c=feed,d=1500\r\n")
-            late_upstream = Peer(host.accept()[0])
-            late_upstream.sock.sendall(b"UP s\r\n")
-            slow_client = Peer(socket.create_connection(address))
-            slow_client.sock.sendall(b"OPEN 3 2 c=feed,d=9000\r\n")  # longer than any deadline that delays SIGKILL
-            assert [late_client.line(), late_client.line(), client.line()] == ["UP s", "MOVE", "MOVE"]
-            assert slow_client.line().startswith("BUSY")
-            assert process.wait(5) == 0
-            assert time.monotonic() - signalled_at < 1.5 + 0.7 + 0.4  # 0.4 s: tolerance for a busy machine
-            assert json.loads(process.stderr.readlines()[-1])["moved"] == 2
+            with planned_restart(process, longest_deadline_s=1.5):
+                # The platform's front sends requests for a moment after SIGTERM.
+                late_client = Peer(socket.create_connection(address))
+                late_client.sock.sendall(b"OPEN 2 2 c=feed,d=1500\r\n")
+                late_upstream = Peer(host.accept()[0])
+                late_upstream.sock.sendall(b"UP s\r\n")
+                slow_client = Peer(socket.create_connection(address))
+                slow_client.sock.sendall(b"OPEN 3 2 c=feed,d=9000\r\n")  # longer than any deadline that delays SIGKILL
+                assert [late_client.line(), late_client.line(), client.line()] == ["UP s", "MOVE", "MOVE"]
+                assert slow_client.line().startswith("BUSY")
+                exit_status = process.wait(5)
+            log = [json.loads(line) for line in process.stderr]
+            assert exit_status == 0, log
+            assert [entry["event"] for entry in log] == ["stopped", "counters"]
+            assert log[-1]["moved"] == 2
 
 
 @pytest.mark.parametrize(
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -16,12 +16,13 @@
 import pytest
 
 from tests import scenario
+from tests.planned_restart import SIGKILL_AFTER_DEADLINE_S, planned_restart
 from tests.scenario import LINES, WIRES, Peer, Scenario
 from tests.test_process import connect, daemon_process
 from vanegw import rules
 
 MAX_DEADLINE_S = 0.5
-SIGKILL_AFTER_S = MAX_DEADLINE_S + 0.7
+SIGKILL_AFTER_S = MAX_DEADLINE_S + SIGKILL_AFTER_DEADLINE_S
 SETTINGS: dict[str, Any] = {
     # The set-up aim is far beyond the end of the process, so that no attempt is given up for its own time.
     "classes": [
@@ -107,16 +108,15 @@
             assert upstream.line().startswith("OPEN 1 2 ")
         elif stage == "dialled":
             balancer.wait_for_counter("requests")
-        signalled_at = time.monotonic()
-        balancer.process.send_signal(signal.SIGTERM)
-        assert client.line().startswith(answer)
-        client.expect_end()
-        client.sock.close()
-        assert balancer.process.wait(5) == 0
-    assert time.monotonic() - signalled_at < SIGKILL_AFTER_S
+        with planned_restart(balancer.process, MAX_DEADLINE_S):
+            assert client.line().startswith(answer)
+            client.expect_end()
+            client.sock.close()
+            exit_status = balancer.process.wait(5)
     assert balancer.process.stderr is not None
-    counters = json.loads(balancer.process.stderr.readlines()[-1])
-    assert "unanswered_at_exit" not in counters
+    log = [json.loads(line) for line in balancer.process.stderr]
+    assert exit_status == 0, log
+    assert "unanswered_at_exit" not in log[-1]
 
 
 def test_a_process_that_is_held_up_until_after_its_exit_still_answers_and_moves(balancer: StoppableBalancer) -> None:
