Tests of checks: the agent answers every check, and a failed wait tells the counters of its end

Cause: two faults of the tests, none of the program. The message of a failed wait was made when the wait began, so its counters were 5 s old: the checks went on. And a check had 20 ms; where the test was held up longer, the check was given up, its connection stayed in the agent's queue, and the one answer of the script went to it and was lost.

Change: the message is made when the wait fails. The agent answers every check in a thread of its own with the line set last, and for HTTP only a right request line; a check has 0.2 s. Each effect is asserted as before, a malformed answer must now fail after a sound one.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,13 +17,13 @@
 
 @pytest.fixture(autouse=True)
 def stop_scenarios() -> Iterator[None]:
-    """Stop the front of each scenario with its test.
+    """Stop each scenario with its test.
 
     Otherwise a front's health check may reach a host of a later test that got the same port.
     """
     yield
     while Scenario.running:
-        Scenario.running.pop().front.stop()
+        Scenario.running.pop().stop()
 
 
 @pytest.fixture(autouse=True)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -10,6 +10,7 @@
     list b0 STATE   discovery reports the state; 'cold': running, started just now
     reload NAME     a new configuration, which names another discovery; 'none': names none, and no host
     wait NAME N     until a counter has reached N
+    a0 answers TEXT     the agent answers each check with this line from now on
     front answer_all    the process is about to end: all requests are answered
 
 Actors are c1, c2, ... (downstreams), b0, b1, ... (upstream hosts), a0 (the agent of b0) and d, d2, ... (discovery).
@@ -33,6 +34,7 @@
 import ssl
 import struct
 import time
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any, ClassVar
 
@@ -41,9 +43,12 @@
 from bramblestile.process import config
 from bramblestile.process.front import Front, LineFront, NatsFront
 from tests import authority
+from tests.stub_agent import StubAgent
 from vanegw import interface as api
 
 TIMEOUT_S = 5.0  # for whatever a scenario waits for
+CHECK_INTERVAL_S = 0.2  # between two checks of a host, and the longest time that one may take
+CHECK_REQUEST_LINES = {"agent": b"", "http": b"GET /healthz HTTP/1.1\r\n"}
 CLASS = {"objective_us": 600_000, "deadline_us": 1_500_000, "worth": 1.0}
 LINES = {
     "ask": ["send OPEN {n}00000000000000{n} 7f3a c=feed,t=acme,d=1500,g=5c", "send early"],
@@ -168,10 +173,12 @@
         if check is not None:  # 'agent' or 'http': b0's, played by the actor a0
             self.listening["a0"] = socket.create_server(("127.0.0.1", 0))
             checks = {"b0": {check: "{}:{}".format(*self.listening["a0"].getsockname())}}
-            values["spans"] = {"check_us": 20_000}
+            values["spans"] = {"check_us": int(CHECK_INTERVAL_S * 1e6)}
         if discovery is not None:
             values["discovery"] = "{}:{}".format(*discovery.getsockname())
             self.listening["d"] = discovery
+        self.check = check
+        self.agent: StubAgent | None = None
         self.values = values | {"listen": "127.0.0.1:0", "checks": checks}
         if self.tls:
             self.values["tls"] = {"ca": str(authority.shared_authority().ca_file)} | (tls or {})
@@ -221,7 +228,7 @@
         """Run one step."""
         actor, verb, rest = (*line.split(" ", 2), "")[:3]
         if actor == "wait":
-            self.until(lambda: self.counters.get(verb) >= int(rest), f"{verb}: {self.counters.as_lines()}")
+            self.until(lambda: self.counters.get(verb) >= int(rest), lambda: f"{verb}: {self.counters.as_lines()}")
         elif actor == "reload":  # a new discovery, or none: then the list in the file, which is empty now
             if verb == "none":
                 self.reload(discovery=None, known={"seq": 1, "hosts": []})
@@ -237,11 +244,11 @@
         else:
             getattr(self, "do_" + verb)(actor, rest)
 
-    def until(self, condition: Any, message: str) -> None:
-        """Wait until a condition holds."""
+    def until(self, condition: Callable[[], bool], message: Callable[[], str]) -> None:
+        """Wait until a condition holds. The message is made when the wait fails, and tells how things are then."""
         end = time.monotonic() + TIMEOUT_S
         while not condition():
-            assert time.monotonic() < end, message
+            assert time.monotonic() < end, message()
             time.sleep(0.002)
 
     def update_host(self, name: str, state: str) -> None:
@@ -353,6 +360,19 @@
                 peer.expect_end()
             raise AssertionError("ended without a reset")
 
+    def do_answers(self, actor: str, text: str) -> None:
+        """Have the agent answer each check with this line."""
+        if self.agent is None:
+            assert self.check is not None
+            self.agent = StubAgent(self.listening[actor], CHECK_REQUEST_LINES[self.check], text)
+        self.agent.answer = text
+
+    def stop(self) -> None:
+        """Stop the front and the agent."""
+        self.front.stop()
+        if self.agent is not None:
+            self.agent.stop()
+
     def do_stop(self, actor: str, _: str) -> None:
         """Close a host's listener."""
         self.listening[actor].close()
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -16,8 +16,6 @@
 from tests.test_process import SETTINGS
 from vanegw.interface import ListMode, State
 
-ANSWER = "a0 accept\na0 send {}\na0 close\n"
-HTTP_ANSWER = "a0 accept\na0 expect GET /healthz HTTP/1.1\na0 send HTTP/1.1 {}\na0 close\n"
 ESTABLISHED = "c1 ask\nb0 taken\nb0 up\nc1 served\n"
 
 
@@ -46,22 +44,23 @@
         # A host whose agent answers drain loses its clients and gets no new ones; after up it is used again.
         (
             "agent",
-            ESTABLISHED
-            + ANSWER.format("drain")
-            + "c1 moved\nc2 ask\nc2 refused\nb0 idle\n"
-            + ANSWER.format("up 50%")
-            + "wait checks_changed_a_host 2\nc3 ask\nb0 accept\nb0 taken\nb0 up\nc3 served",
+            "a0 answers up\nwait checks_sound 1\n"
+            + ESTABLISHED
+            + "a0 answers drain\nc1 moved\nc2 ask\nc2 refused\nb0 idle\n"
+            + "a0 answers up 50%\nwait checks_changed_a_host 2\nc3 ask\nb0 accept\nb0 taken\nb0 up\nc3 served",
         ),
         # After three consecutive failed checks a host is down; after two successful ones it is up again.
         ("agent", "a0 stop\nwait checks_failed 3\nwait checks_changed_a_host 1\nc1 ask\nc1 refused\nb0 idle"),
         (
             "http",
-            HTTP_ANSWER.format("503 Unwell")
-            + "wait checks_changed_a_host 1\nc1 ask\nc1 refused\nb0 idle\n"
-            + HTTP_ANSWER.format("200 OK")
-            + "wait checks_changed_a_host 2\nc2 ask\nb0 taken\nb0 up\nc2 served",
+            "a0 answers HTTP/1.1 503 Unwell\nwait checks_changed_a_host 1\nc1 ask\nc1 refused\nb0 idle\n"
+            + "a0 answers HTTP/1.1 200 OK\nwait checks_changed_a_host 2\nc2 ask\nb0 taken\nb0 up\nc2 served",
+        ),
+        (
+            "http",
+            "a0 answers HTTP/1.1 200 OK\nwait checks_sound 1\n"
+            + "a0 answers SSH-2.0-x\nwait checks_failed 3\nwait checks_changed_a_host 1\nc1 ask\nc1 refused",
         ),
-        ("http", ANSWER.format("SSH-2.0-x") * 3 + "wait checks_changed_a_host 1\nc1 ask\nc1 refused"),
     ],
 )
 def test_check_results_take_effect(wire: str, check: str, script: str) -> None:
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -552,7 +552,7 @@
     handshake.start()
     # The decision module learns of it shortly after the cluster. A request between the two would be refused.
     listed_backends = scenario.front.decisions._balancer.backends
-    scenario.until(lambda: listed_backends["b0"].info.state is State.RUNNING, "closed still")
+    scenario.until(lambda: listed_backends["b0"].info.state is State.RUNNING, lambda: "closed still")
     handshake.join(5)
     scenario.run("c1 close\nb0 bye\nb0 ends\nc4 ask\nb0 taken\nb0 up\nc4 served")
 
