Front.stop ends every thread that the front has started

Cause: the timers, the moves and the watch for silence of a front ran on after its stop, three threads a front. The program stops no front before its exit, but the tests do: 860 threads stood at the end of the first group, and held up its process. Change: Decisions.stop and Connections.stop; established connections continue.

--- a/bramblestile/memory/connections.py
+++ b/bramblestile/memory/connections.py
@@ -477,7 +477,7 @@
     ) -> None:
         self._lock = threading.Lock()
         self._all: dict[str, ProxiedConnection] = {}
-        self._moves: SimpleQueue[str] = SimpleQueue()
+        self._moves: SimpleQueue[str | None] = SimpleQueue()  # None: the end of all moves
         self._on_silent_connection = on_silent_connection
         self._on_silent_host = on_silent_host
         self._stop = threading.Event()
@@ -487,6 +487,11 @@
         for run in (self._run_moves, self._run_watch):
             threading.Thread(target=run, name=run.__name__, daemon=True).start()
 
+    def stop(self) -> None:
+        """End both threads; the connections continue."""
+        self._stop.set()
+        self._moves.put(None)
+
     def add(self, connection: ProxiedConnection) -> None:
         """Add an established connection."""
         with self._lock:
@@ -507,8 +512,7 @@
         self._moves.put(connection_id)
 
     def _run_moves(self) -> None:
-        while True:
-            connection_id = self._moves.get()
+        while (connection_id := self._moves.get()) is not None:
             with self._lock:
                 connection = self._all.get(connection_id)
             if connection is not None:
--- a/bramblestile/memory/decisions.py
+++ b/bramblestile/memory/decisions.py
@@ -110,6 +110,7 @@
         self._timers_changed = threading.Condition(threading.Lock())
         self._timers: list[tuple[timedelta, int, str]] = []  # a heap: due time, sequence number, token
         self._timer_sequence = 0  # orders timers that are due at the same time
+        self._stopped = False
         self._active_requests: dict[str, ActiveRequest] = {}
         self.on_probe: Callable[[str], None] = lambda host: None
         self.on_move: Callable[[str], None] = lambda connection: None
@@ -119,6 +120,12 @@
         """Start the thread that fires timers."""
         threading.Thread(target=self._run_timers, name="timers", daemon=True).start()
 
+    def stop(self) -> None:
+        """Fire no further timers."""
+        with self._timers_changed:
+            self._stopped = True
+            self._timers_changed.notify()
+
     def reconfigure(self, settings: api.Settings) -> None:
         """Replace the module's settings."""
         with self._lock:
@@ -286,8 +293,10 @@
     def _run_timers(self) -> None:
         while True:
             with self._timers_changed:
-                while not self._timers or self._timers[0][0] > now():
+                while not self._stopped and (not self._timers or self._timers[0][0] > now()):
                     remaining = self._timers[0][0] - now() if self._timers else None
                     self._timers_changed.wait(None if remaining is None else max(0.0, remaining.total_seconds()))
+                if self._stopped:
+                    return
                 token = heapq.heappop(self._timers)[2]
             self.handle_event(api.TimerFired(token))
--- a/bramblestile/process/front.py
+++ b/bramblestile/process/front.py
@@ -278,9 +278,11 @@
             self.discovery_watch.switch_to(config.discovery)
 
     def stop(self) -> None:
-        """Stop accepting downstreams, health checks and the watch of discovery; established connections continue."""
+        """Stop accepting downstreams, and end all threads of the front; established connections continue."""
         self.stopped.set()
         self.checks.stop()
+        self.decisions.stop()
+        self.connections.stop()
         if self.tls is not None:
             self.tls.stop()
         if self.discovery_watch is not None:
