--- a/tests/planned_restart.py
+++ b/tests/planned_restart.py
@@ -1,7 +1,7 @@
 """A planned restart as the platform carries it out: SIGTERM, and SIGKILL when the process has had all its time.
 
-Both signals come from a process of their own. The process of the tests is held up by hundreds of threads and by its
-garbage collection, so a time that it takes itself says little about the balancer.
+Both signals come from a process of their own. The process of the tests is held up by its own threads and its garbage
+collection, so a time that it takes itself says little about the balancer.
 """
 
 from __future__ import annotations
