--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -215,14 +215,14 @@
         return {"host": name, "dial": "{}:{}".format(*self.listening[name].getsockname()), "health": "in_service"}
 
     def run(self, script: str) -> None:
-        """Run the steps of a script; a failure names the line."""
+        """Run the steps of a script; a failure names the line and the counters then."""
         for number, line in enumerate(script.strip().splitlines(), 1):
             if line.strip():
                 try:
                     self.step(line.strip())
                 except Exception as error:
                     where = f"{self.wire}, line {number}, {line.strip()!r}"
-                    raise AssertionError(f"{where}: {error!r}") from error
+                    raise AssertionError(f"{where}: {error!r}; {self.counters.as_lines()}") from error
 
     def step(self, line: str) -> None:
         """Run one step."""
