--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -60,6 +60,13 @@
         return 0
 
 
+def reset(sock: socket.socket) -> None:
+    """Have a connection end with a reset, as that of a process that dies, when its reader closes it."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.shutdown(socket.SHUT_RD)  # wakes the thread that reads from it, which closes it
+
+
 def random_seed() -> str:
     """Return a seed for a balancer, which is new with each start."""
     return os.urandom(8).hex()
@@ -100,12 +107,20 @@
     """One process of the balancer, started as the deploy file says."""
 
     def __init__(
-        self, record: Record, name: str, config: dict[str, Any], folder: Path, environment: dict[str, str] | None = None
+        self,
+        record: Record,
+        name: str,
+        config: dict[str, Any] | Path,
+        folder: Path,
+        environment: dict[str, str] | None = None,
     ) -> None:
+        """Prepare a process with these values, or with an operators' file that is named on its command line."""
         self.record, self.name, self.folder = record, name, folder
         self.config_path = folder / f"{name}.json"
         self._environment = environment or {}
-        self.write_config(config)
+        self._operators_file = config if isinstance(config, Path) else None
+        if not isinstance(config, Path):
+            self.write_config(config)
         self.process: subprocess.Popen[bytes] | None = None
 
     def write_config(self, config: dict[str, Any]) -> None:
@@ -120,7 +135,11 @@
         temporary = self.folder / f"{self.name}.tmp"
         temporary.mkdir(exist_ok=True)
         environment = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
-        environment |= {"EDGE_CONFIG": str(self.config_path), "TMPDIR": str(temporary)} | self._environment
+        environment |= {"TMPDIR": str(temporary)} | self._environment
+        if self._operators_file is None:
+            environment["EDGE_CONFIG"] = str(self.config_path)
+        else:
+            run += f" '{self._operators_file}'"
         with (self.folder / f"{self.name}.log").open("ab") as log:
             self.process = subprocess.Popen(
                 ["/bin/sh", "-c", run],
@@ -238,9 +257,7 @@
             self.sock.shutdown(socket.SHUT_RDWR)
         self.sock.close()
         for sock in self._open:
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                sock.shutdown(socket.SHUT_RD)  # wakes the thread that serves it
+            reset(sock)
 
 
 class Discovery:
@@ -377,12 +394,13 @@
 class NatsServer:
     """An image server that speaks the NATS client protocol and echoes nothing; it answers PING with PONG.
 
-    ``connected`` holds the time and the client's name of each CONNECT that came.
+    ``connected`` holds the time and the client's name of each CONNECT that came, ``open`` the open connections.
     """
 
     def __init__(self, record: Record, name: str) -> None:
         self.record, self.name = record, name
         self.connected: list[tuple[float, str]] = []
+        self.open: list[socket.socket] = []
         self.sock = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.address: Address = self.sock.getsockname()
         threading.Thread(target=self._accept, daemon=True).start()
@@ -404,6 +422,14 @@
                 sock = self.sock.accept()[0]
                 threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
+    def stop(self) -> None:
+        """End as a process does that has died: new connections are refused, open ones are reset."""
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
+        for sock in self.open:
+            reset(sock)
+
     def _serve(self, sock: socket.socket) -> None:
         info = json.dumps({"server_id": self.name, "version": "2.10.0", "max_payload": 1 << 20})
         with contextlib.suppress(OSError, ValueError), sock, sock.makefile("rb") as lines:
