--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Lists are pushed: the balancer never asks its agent, so it goes on sending to an image server that drains."""
+"""The store: a drain that a majority has committed is lost when one of three instances is restarted."""
 
 from __future__ import annotations
 
@@ -10,104 +10,80 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from harness_2 import (
-    Balancer,
-    Client,
+    CannotRunError,
     Discovery,
-    ImageServer,
+    NatsClient,
+    NatsServer,
     Record,
+    StorePeer,
     free_address,
-    random_seed,
+    nats_config,
     run_case,
-    settings,
     text_of,
+    wait_until,
 )
 
-DRAIN_GRACE_S = 2.5  # quito-centro: nothing new later than 2.5 s after the balancer was told
-ALLOWANCE_S = 0.05  # every time limit is 50 ms longer on sockets
-DRAIN_S = 6.0  # the longest drain that the pages name
-CLIENTS_PER_S = 4
-FLEET, DRAINED = 8, 4  # the fleet shrinks to half: the pages name 40 to 71% of its size
-CLASSES = [  # of quito-centro: name, aim and give-up time in milliseconds
-    ("catalogue-feed", 800, 4800),
-    ("order-status", 800, 4800),
-    ("stock-levels", 300, 1200),
-    ("delivery-slots", 300, 1800),
-]
+GRACE_S = 1.05  # nothing new later than 1 s after the balancer was told, 50 ms longer on sockets
+CALL_S = 0.25  # discovery serves 3 to 6 calls a second, one after the other
+CLIENTS, CLIENT_INTERVAL_S = 24, 0.15
 
 
 def case(record: Record, folder: Path, disrupt: bool) -> bool:
-    servers = [ImageServer(record, f"s-{number}") for number in range(FLEET)]
-    drained = servers[:DRAINED]
-    agent = Discovery(record, [server.entry() for server in servers])
-    listen = free_address()
-    rules = settings()["rules"] | {
-        "drain_grace_us": int(DRAIN_GRACE_S * 1e6),
-        "cold_from": 0.3,
-        "cold_us": 8_100_000,
-        "fall_multiple": 3.0,
-    }
-    balancer = Balancer(
-        record,
-        "n1",
-        {
-            "name": "n1",
-            "listen": text_of(listen),
-            "discovery": text_of(agent.address),
-            "seed": random_seed(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": {"seq": 1, "whole": True, "hosts": [server.entry() for server in servers]},
-            "settings": settings(
-                membership_mode="pushed",
-                rules=rules,
-                classes=[
-                    {"name": name, "objective_us": aim * 1000, "deadline_us": wait * 1000, "effect": "safe"}
-                    for name, aim, wait in CLASSES
-                ],
-                domain={"groups": False, "mode": "proxy", "message_aim_us": [60_000.0, 150_000.0, 150_000.0, 50_000.0]},
-            ),
-        },
-        folder,
-    )
-    clients: list[Client] = []
+    servers = [NatsServer(record, name) for name in ("catalogue-a", "catalogue-b")]
+    drained = servers[0]
+    discovery = Discovery(record, [server.entry() for server in servers])
+    discovery.call_s = CALL_S
+    peers = {name: free_address() for name in ("s1", "s2", "s3")}
+    instances = [StorePeer(record, name, peers, folder) for name in peers]
+    for instance in instances:
+        configure(instance, discovery)
+    restarted = instances[2]
+    try:
+        for instance in instances:
+            instance.start()
+        for instance in instances:
+            instance.balancer.wait_until_accepting(instance.listen)
+        wait_until(lambda: instances[0].get("hosts/catalogue-a")["leader"], 10, "a leader of the store")
+        time.sleep(3)  # every instance has discovery's list
+        edit = threading.Thread(target=lambda: instances[0].set("hosts/catalogue-b", "100%"))
+        if not instances[0].set("hosts/catalogue-a", "drain")["ok"]:
+            raise CannotRunError("the store did not take the drain")
+        wait_until(lambda: restarted.get("hosts/catalogue-a")["value"] == "drain", 5, "s3 to hold the drain")
+        time.sleep(GRACE_S)
+        place_clients(record, restarted, "before")
+        if drained.connected:
+            raise CannotRunError("the drain was not followed before the restart either")
+        edit.start()
+        if disrupt:
+            restarted.balancer.kill()
+            configure(restarted, discovery)  # with a new seed, as with each start
+            restarted.start()
+            restarted.balancer.wait_until_accepting(restarted.listen)
+        edit.join()
+        wait_until(lambda: restarted.get("hosts/catalogue-a")["value"] == "drain", 10, "s3 to hold the drain")
+        time.sleep(3)  # the list has come, and the grace of 1 s is over
+        place_clients(record, restarted, "after")
+        record.write(f"s3's value of hosts/catalogue-a: {restarted.get('hosts/catalogue-a')['value']!r}")
+    finally:
+        for instance in instances:
+            instance.balancer.kill()
+    record.write(f"{len(drained.connected)} of {CLIENTS} clients of s3 were placed on {drained.name}, which drains")
+    return not drained.connected
 
-    def open_client(number: int) -> None:
-        name, _, wait_ms = CLASSES[number % len(CLASSES)]
-        client = Client(record, listen, number, name, wait_ms)
-        clients.append(client)
-        threading.Thread(target=client.read_to_end, daemon=True).start()
 
-    def load(seconds: float) -> None:
-        until = record.now() + seconds
-        while record.now() < until:
-            open_client(len(clients) + 1)
-            time.sleep(1 / CLIENTS_PER_S)
+def configure(instance: StorePeer, discovery: Discovery) -> None:
+    instance.configure(nats_config(instance.name, instance.listen, discovery=text_of(discovery.address)))
 
-    try:
-        balancer.start()
-        balancer.wait_until_accepting(listen)
-        load(4)
-        for server in drained if disrupt else ():
-            server.draining = True
-            agent.change(server.entry("terminating"))
-        told_by = record.now()
-        load(DRAIN_S)
-        for server in drained if disrupt else ():
-            server.stop()
-            agent.change(server.entry("terminated"))
-        load(1)
-        cut = [client.request_id for client in clients if client.cut_at and "MOVE" not in client.received]
-    finally:
-        balancer.kill()
-    late = [
-        f"{server.name} {at - told_by:.2f} s"
-        for server in drained
-        for at, _ in server.opens
-        if disrupt and at > told_by + DRAIN_GRACE_S + ALLOWANCE_S
-    ]
-    record.write(f"the balancer asked its agent {agent.calls} times")
-    record.write(f"{len(late)} requests came to a draining server later than {DRAIN_GRACE_S} s after the news: {late}")
-    record.write(f"for information: {len(cut)} connections of clients ended without MOVE")
-    return not late
+
+def place_clients(record: Record, instance: StorePeer, name: str) -> list[NatsClient]:
+    """Connect clients one after another, and return them: they stay connected."""
+    clients = []
+    for number in range(CLIENTS):
+        client = NatsClient(record, instance.listen, f"{name}-{number}")
+        client.read_answer()
+        clients.append(client)
+        time.sleep(CLIENT_INTERVAL_S)
+    return clients
 
 
 if __name__ == "__main__":
