Review 2: a case that cannot run exits with 2, never with 1

Cause: without the build a script ended with 127, and an error before the run with 1, which means a broken rule.

--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -24,7 +24,8 @@
 from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# Exit codes of a case. run.sh makes 1 of BROKEN and 2 of any other but HELD, since Python itself ends with 1 on errors.
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2
 START_TIMEOUT_S = 15.0
 
 Address = tuple[str, int]
