A host's setting in the store is a source of its own, kept until the key changes

Callers saw: clients were placed on a server that operators had set to drain in the store, and cut off when it stopped, at an instance that had been restarted.

Cause: the store reports each committed value once. Cluster.apply_check dropped it for a host that was not listed at that moment, which after a start is usual, and kept it in one slot with the results of health checks. There it was lost when the host restarted or was not listed for a while, and by the next good check. A value without a state word, and a removed key, left the earlier value in force, but not at instances that had not seen that one.

Change: the cluster keeps what the store holds by name, listed or not, until the key has another value, and only the last value counts. Related paths: results of health checks are kept for hosts that are not listed too, and a host that is down is reported so at each failed check, not once, since its restart ends the result. The recheck of a NATS host's lame duck mode ends that mark alone.

--- a/bramblestile/memory/cluster.py
+++ b/bramblestile/memory/cluster.py
@@ -28,13 +28,35 @@
     tls_name: str = ""  # the name its certificate must prove; empty: by the configuration's template
 
 
+@dataclass(slots=True, frozen=True)
+class HostSetting:
+    """What one source says of a host: whether it takes work, and the part of its listed weight that it is to have."""
+
+    takes_work: bool = True
+    weight_share: float = 1.0
+
+
+NO_SETTING = HostSetting()
+
+
+@dataclass(slots=True)
+class _HostChange:
+    """The host whose effective state a change has altered, if it has."""
+
+    changed_host: UpstreamHost | None = None
+
+
 class Cluster:
     """The listed upstream hosts. Nothing is ever sent to a host that is not in here.
 
     A host's effective state is the most restrictive of these sources:
 
     - The state that discovery lists.
-    - The result of a health check, until a later check replaces it, or the host restarts or is no longer listed.
+    - The setting that the replicated store holds, until the store holds another. It ends neither with a check's result
+      nor with a restart of the host, and it need not be listed: the store reports each value once, in any order with
+      the lists.
+    - The result of a health check, until a later check replaces it, or the host restarts. A host is checked whether it
+      is listed or not, so it need not be listed here either.
     - The host's own announcement that it drains. It ends when the host restarts, when a check finds that the host
       takes work, or when discovery lists the host as in service after it had listed it as draining.
     - A refused certificate, until it is accepted again, or the host restarts or is no longer listed.
@@ -49,10 +71,10 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._listed: dict[str, UpstreamHost] = {}
-        self._check_results: dict[str, tuple[bool, float]] = {}  # takes work, share of the listed weight
-        self._refused_certificates: set[str] = (
-            set()
-        )  # hosts whose certificate is refused: no new connections, existing ones stay
+        self._stored_settings: dict[str, HostSetting] = {}  # from the replicated store, listed or not
+        self._check_results: dict[str, HostSetting] = {}  # of health checks, listed or not
+        # Hosts whose certificate is refused: no new connections, existing ones stay.
+        self._refused_certificates: set[str] = set()
         self._draining: set[str] = set()  # hosts that announced themselves that they drain
         self._suspended: Collection[str] = ()  # by operators, listed or not
         self._weight_factors: Mapping[str, float] = {}  # factors of the weights; 1 where a host has none
@@ -65,20 +87,21 @@
         with self._lock:
             if mode is not ListMode.CHANGES:
                 current = {host.id: host for host in hosts}
-                self._check_results = {n: o for n, o in self._check_results.items() if n in current}
                 self._listed = {n: h for n, h in self._listed.items() if n in current}
                 self._refused_certificates.intersection_update(current)
                 self._draining.intersection_update(current)
             for host in hosts:
                 old = self._listed.get(host.id)
                 back_in_service = old is not None and old.state is State.DRAINING and host.state is State.RUNNING
-                restarted = host.state is State.GONE or (old is not None and old.started_at != host.started_at)
+                restarted = old is not None and old.started_at != host.started_at
+                gone = host.state is State.GONE
                 if restarted:
                     self._check_results.pop(host.id, None)
+                if restarted or gone:
                     self._refused_certificates.discard(host.id)
-                if restarted or back_in_service:
+                if restarted or gone or back_in_service:
                     self._draining.discard(host.id)
-                if host.state is State.GONE:
+                if gone:
                     self._listed.pop(host.id, None)
                 else:
                     self._listed[host.id] = host
@@ -89,20 +112,24 @@
 
         ``weight_share`` is the part of its listed weight that the host is to have; None leaves a value as it was.
         """
-        with self._lock:
-            host = self._listed.get(name)
-            if host is None:
-                return None
-            before, (accepts, old_weight_share) = (
-                self._with_effective_state(host),
-                self._check_results.get(name, (True, 1.0)),
-            )
-            accepts = accepts if takes_work is None else takes_work
+        with self._lock, self._change_of(name) as change:
+            old = self._check_results.get(name, NO_SETTING)
             if takes_work:
                 self._draining.discard(name)
-            self._check_results[name] = (accepts, old_weight_share if weight_share is None else weight_share)
-            after = self._with_effective_state(host)
-            return after if after != before else None
+            self._check_results[name] = HostSetting(
+                old.takes_work if takes_work is None else takes_work,
+                old.weight_share if weight_share is None else weight_share,
+            )
+        return change.changed_host
+
+    def apply_stored_setting(self, name: str, setting: HostSetting) -> UpstreamHost | None:
+        """Apply what the replicated store holds of a host. Returns the host if its effective state changes."""
+        with self._lock, self._change_of(name) as change:
+            if setting == NO_SETTING:
+                self._stored_settings.pop(name, None)
+            else:
+                self._stored_settings[name] = setting
+        return change.changed_host
 
     def set_closed(self, name: str, closed: bool) -> UpstreamHost | None:
         """Stop or allow new connections to a host; it is closed while its certificate is refused.
@@ -115,15 +142,25 @@
         """Record a host's own announcement that it drains. Returns the host if its effective state changes."""
         return self._set_mark(self._draining, name, True)
 
+    def end_draining(self, name: str) -> UpstreamHost | None:
+        """Record that a host no longer announces that it drains. Returns the host if its effective state changes."""
+        return self._set_mark(self._draining, name, False)
+
     def _set_mark(self, marked: set[str], name: str, on: bool) -> UpstreamHost | None:
-        with self._lock:
-            host = self._listed.get(name)
-            if host is None:
-                return None
-            before = self._with_effective_state(host)
-            (marked.add if on else marked.discard)(name)
-            after = self._with_effective_state(host)
-            return after if after != before else None
+        with self._lock, self._change_of(name) as change:
+            if name in self._listed:
+                (marked.add if on else marked.discard)(name)
+        return change.changed_host
+
+    @contextmanager
+    def _change_of(self, name: str) -> Iterator[_HostChange]:
+        """Find out whether the body changes a listed host's effective state. Called with the lock held."""
+        change = _HostChange()
+        host = self._listed.get(name)
+        before = None if host is None else self._with_effective_state(host)
+        yield change
+        after = None if host is None else self._with_effective_state(host)
+        change.changed_host = after if after != before else None
 
     def _with_effective_state(self, host: UpstreamHost) -> UpstreamHost:
         """Return the host in its effective state, by all sources that the class lists. Called with the lock held.
@@ -131,7 +168,9 @@
         Suspended hosts, and those with a refused certificate, keep their connections, unlike draining ones. A host that
         operators have resumed counts as started then, so that it gets its load back slowly.
         """
-        takes_work, weight_share = self._check_results.get(host.id, (True, 1.0))
+        stored = self._stored_settings.get(host.id, NO_SETTING)
+        checked = self._check_results.get(host.id, NO_SETTING)
+        takes_work = stored.takes_work and checked.takes_work
         state = host.state
         if state is State.RUNNING and (not takes_work or host.id in self._draining):
             state = State.DRAINING
@@ -143,7 +182,9 @@
         return replace(
             host,
             state=state,
-            weight=host.weight * weight_share * self._weight_factors.get(host.id, 1.0),
+            weight=host.weight
+            * min(stored.weight_share, checked.weight_share)
+            * self._weight_factors.get(host.id, 1.0),
             started_at=started_at,
         )
 
--- a/bramblestile/memory/decisions.py
+++ b/bramblestile/memory/decisions.py
@@ -15,7 +15,7 @@
 
 from bramblestile.clock import MICROSECOND, now
 from bramblestile.log import Log
-from bramblestile.memory.cluster import Cluster, UpstreamHost
+from bramblestile.memory.cluster import Cluster, HostSetting, UpstreamHost
 from bramblestile.memory.counters import Counters
 from bramblestile.tracing import Tracer, TracerHandle
 from vanegw import handover
@@ -194,10 +194,18 @@
         """Apply a health check's result (see ``Cluster.apply_check``). Returns whether it changes the host."""
         return self._report_change(self._cluster.apply_check(name, takes_work, weight_share))
 
+    def apply_stored_setting(self, name: str, setting: HostSetting) -> bool:
+        """Apply what the replicated store holds of a host. Returns whether it changes the host."""
+        return self._report_change(self._cluster.apply_stored_setting(name, setting))
+
     def mark_draining(self, name: str) -> bool:
         """Record a host's own announcement that it drains. Returns whether it changes the host."""
         return self._report_change(self._cluster.mark_draining(name))
 
+    def end_draining(self, name: str) -> None:
+        """Record that a host no longer announces that it drains."""
+        self._report_change(self._cluster.end_draining(name))
+
     def set_closed(self, name: str, closed: bool) -> None:
         """Stop or allow new connections to a host; existing ones stay."""
         self._report_change(self._cluster.set_closed(name, closed))
--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -481,11 +481,15 @@
         store.start()
 
     def apply_store_entry(self, key: str, value: str) -> None:
-        """Apply an entry that the peers have committed. ``hosts/NAME`` holds that host's answer to an agent check."""
+        """Apply an entry that the peers have committed. ``hosts/NAME`` holds operators' setting of that host.
+
+        Only the key's last value counts, so that all instances agree, whether they have seen the earlier ones or not.
+        """
         kind, _, name = key.partition("/")
         if kind == "hosts":
+            setting = agent.parse_host_setting(value)
             for front in self.fronts:
-                front.on_check_result(name, agent.parse_agent_line(value))
+                front.on_stored_setting(name, setting)
 
     def stop_store(self) -> None:
         """Stop the store and its listener, if there are any."""
--- a/bramblestile/process/front.py
+++ b/bramblestile/process/front.py
@@ -18,7 +18,7 @@
 from bramblestile.clock import ZERO_DURATION, now
 from bramblestile.life import ServingContext, serve_request
 from bramblestile.log import Log
-from bramblestile.memory.cluster import Cluster, UpstreamHost
+from bramblestile.memory.cluster import Cluster, HostSetting, UpstreamHost
 from bramblestile.memory.connections import Connections, DelayMonitor, ProxiedConnection
 from bramblestile.memory.counters import Counters
 from bramblestile.memory.decisions import Decisions
@@ -362,6 +362,12 @@
             self.counters.add("checks_changed_a_host")
             self.log.info("check", host=name, takes_work=result.takes_work, share=result.weight_share)
 
+    def on_stored_setting(self, name: str, setting: HostSetting) -> None:
+        """Apply what the replicated store holds of an upstream host."""
+        if self.decisions.apply_stored_setting(name, setting):
+            self.counters.add("store_changed_a_host")
+            self.log.info("store", host=name, takes_work=setting.takes_work, share=setting.weight_share)
+
     def running_share(self) -> float:
         """Return the share of the listed upstream hosts that accept requests; 0 if none is listed."""
         hosts = self.cluster.hosts()
@@ -450,7 +456,7 @@
             if self.stopped.wait(DRAIN_RECHECK_INTERVAL.total_seconds()):
                 return
             if nats.has_stopped_draining(self._dial, host, self.config.probe_timeout):
-                self.decisions.apply_check(name, takes_work=True)
+                self.decisions.end_draining(name)
                 break
         self._rechecked_hosts.discard(name)
 
--- a/bramblestile/wire/agent.py
+++ b/bramblestile/wire/agent.py
@@ -14,6 +14,7 @@
 
 from bramblestile import sockets
 from bramblestile.clock import ZERO_DURATION, now
+from bramblestile.memory.cluster import HostSetting
 from bramblestile.sockets import Address, LineReader, decode_line
 
 MAX_LINE_BYTES = 4096
@@ -54,6 +55,15 @@
     return CheckResult(takes_work, weight_share)
 
 
+def parse_host_setting(line: str) -> HostSetting:
+    """Parse an agent's line that stands for itself: what it does not name is as for a host without a setting."""
+    result = parse_agent_line(line)
+    return HostSetting(
+        True if result.takes_work is None else result.takes_work,
+        1.0 if result.weight_share is None else result.weight_share,
+    )
+
+
 @dataclass(slots=True, frozen=True)
 class CheckTarget:
     """Where one upstream host answers checks: its agent, or its health path over HTTP."""
--- a/bramblestile/wire/checks.py
+++ b/bramblestile/wire/checks.py
@@ -53,8 +53,9 @@
             except OSError:
                 failures, successes = failures + 1, 0
                 self._counters.add("checks_failed")
-                if failures >= FAILURES_UNTIL_DOWN and not down:
+                if down or failures >= FAILURES_UNTIL_DOWN:
                     down = True
+                    # At each failure: the host may have restarted meanwhile, which ends what was known of it.
                     self._on_result(name, CheckResult(takes_work=False))
             self._stopped.wait(self._interval.total_seconds())
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -126,3 +126,22 @@
     cluster.update(ListMode.CHANGES, [replace(host, state=State.DRAINING)])
     (effective,) = cluster.update(ListMode.CHANGES, [host])
     assert effective.state is expected
+
+
+def test_check_result_that_comes_before_the_list_is_applied() -> None:
+    """Guards against: a host that its check has found to be down is listed later, and gets clients."""
+    cluster = Cluster()
+    assert cluster.apply_check("a", takes_work=False) is None
+    (effective,) = cluster.update(ListMode.COMPLETE, [UpstreamHost("a", ("127.0.0.1", 1))])
+    assert effective.state is State.DRAINING
+    cluster.update(ListMode.COMPLETE, [])
+    (effective,) = cluster.update(ListMode.COMPLETE, [UpstreamHost("a", ("127.0.0.1", 1))])
+    assert effective.state is State.DRAINING
+
+
+@pytest.mark.parametrize("wire", ["lines", "nats"])
+def test_a_host_that_is_down_stays_so_when_discovery_lists_a_restart(wire: str) -> None:
+    """Guards against: the end of a result at a host's restart, though its check goes on failing, lasts for ever."""
+    scenario = Scenario(wire, check="agent")
+    scenario.run("a0 stop\nwait checks_failed 3\nwait checks_changed_a_host 1\nlist b0 cold")
+    scenario.run("wait checks_changed_a_host 2\nc1 ask\nc1 refused\nb0 idle")
