Framers report runs of messages: short messages no longer exhaust the memory

Callers saw: with 500 clients that each sent 200 KB of one-byte lines a process took 228 MB (lines) and 216 MB (NATS); the platform kills it at 192 MB. Other clients got no answer in 5 s.

Cause: a framer made an object, a copy and a list entry for each message of a read, thousands in 8 KiB, and parsing took milliseconds, in which hundreds of threads were interrupted while they held theirs.

Change: a framer reports runs of one kind with a count, and looks at no line that means nothing to it. A size of a NATS payload with more digits than int() takes no longer raises ValueError.

--- a/bramblestile/memory/connections.py
+++ b/bramblestile/memory/connections.py
@@ -41,10 +41,14 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Message:
-    """A message that was forwarded. ``value`` is the load that a LOAD message reports."""
+class MessageRun:
+    """Messages of one kind that were forwarded one after another. ``value`` is the load that a LOAD message reports.
+
+    Runs, because one read may hold thousands of messages, and hundreds of connections may be read at once.
+    """
 
     kind: MessageKind
+    count: int = 1
     value: float = 0.0
 
 
@@ -62,7 +66,7 @@
     It never changes a byte.
     """
 
-    def feed(self, data: memoryview) -> tuple[int, list[Message]]:
+    def feed(self, data: memoryview) -> tuple[int, list[MessageRun]]:
         """Return how many bytes of the data may be forwarded now, and the messages that end within them."""
 
     def at_boundary(self) -> bool:
@@ -260,28 +264,28 @@
                     return
                 size += received
             has_unfed_data = False
-            passed, messages = self.from_upstream.feed(view[:size])
+            passed, runs = self.from_upstream.feed(view[:size])
             if passed == 0 and size == len(buffer):
                 passed = size  # longer than any valid message: forwarded, not judged here
             goes_on = self._write_to_downstream(view[:passed])
             # Only after the write: what a message leads to, such as a move, must not overtake it.
-            self._handle_messages(messages, observer)
+            self._handle_messages(runs, observer)
             if not goes_on:
                 return
             buffer[: size - passed] = buffer[passed:size]
             size -= passed
 
-    def _handle_messages(self, messages: list[Message], observer: ConnectionObserver) -> None:
+    def _handle_messages(self, runs: list[MessageRun], observer: ConnectionObserver) -> None:
         """Report what messages of the upstream host show: response delays, loads, and that the host drains."""
-        for message in messages:
-            self.last_kind = message.kind
-            if message.kind is MessageKind.RESPONSE:
+        for run in runs:
+            self.last_kind = run.kind
+            if run.kind is MessageKind.RESPONSE:
                 self.last_response = now()
-            if message.kind is MessageKind.RESPONSE and self.pending_queries:
-                observer.on_delay(self, now() - self.pending_queries.popleft())
-            elif message.kind is MessageKind.LOAD:
-                observer.on_load(self, message.value)
-            elif message.kind in (MessageKind.DRAINING, MessageKind.SENT_AWAY) and not self._client_side_ended():
+                for _ in range(min(run.count, len(self.pending_queries))):
+                    observer.on_delay(self, self.last_response - self.pending_queries.popleft())
+            elif run.kind is MessageKind.LOAD:
+                observer.on_load(self, run.value)
+            elif run.kind in (MessageKind.DRAINING, MessageKind.SENT_AWAY) and not self._client_side_ended():
                 # A host sends its clients away because it drains. Discovery may report that seconds later; until then
                 # many balancers would send it the very clients that it has just sent away.
                 observer.on_host_draining(self)
@@ -322,12 +326,12 @@
         while True:
             if size:
                 try:
-                    passed, messages = self.from_downstream.feed(view[:size])
+                    passed, runs = self.from_downstream.feed(view[:size])
                 except ProtocolViolationError as violation:
                     self._reject(violation.reply)
                     return
                 at = now()
-                queries = sum(message.kind is MessageKind.QUERY for message in messages)
+                queries = sum(run.count for run in runs if run.kind is MessageKind.QUERY)
                 # Only the oldest times are kept. They suffice to detect silence, and a client that sends without end
                 # must not fill the memory.
                 self.pending_queries.extend([at] * min(queries, MAX_PENDING_QUERIES - len(self.pending_queries)))
--- a/bramblestile/wire/lines.py
+++ b/bramblestile/wire/lines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 import socket
 from dataclasses import dataclass
 from datetime import timedelta
@@ -11,7 +12,7 @@
 from bramblestile import sockets
 from bramblestile.clock import MICROSECOND, ZERO_DURATION, now, to_milliseconds
 from bramblestile.memory.cluster import UpstreamHost
-from bramblestile.memory.connections import Message, MessageKind, ProxiedConnection
+from bramblestile.memory.connections import MessageKind, MessageRun, ProxiedConnection
 from bramblestile.protocol import (
     AttemptLimits,
     ClientRequest,
@@ -149,22 +150,32 @@
 
 
 class LineFramer:
-    """Forwards complete lines only. ``kinds`` maps a line's first word to its meaning."""
+    """Forwards complete lines only. ``kinds`` maps a line's first word to its meaning; all others mean ``other``."""
 
     def __init__(self, kinds: dict[bytes, MessageKind], other: MessageKind) -> None:
         self._kinds = kinds
         self._other = other
+        self._first_word = re.compile(rb"^(%b)(?=[ \r\n])" % b"|".join(kinds), re.MULTILINE)
 
-    def feed(self, data: memoryview) -> tuple[int, list[Message]]:
+    def feed(self, data: memoryview) -> tuple[int, list[MessageRun]]:
         """Return the size of the complete lines and their meanings."""
         raw = bytes(data)
         passed = raw.rfind(b"\n") + 1
-        messages = []
-        for line in raw[:passed].splitlines():
-            word, _, rest = line.partition(b" ")
-            kind = self._kinds.get(word, self._other)
-            messages.append(Message(kind, _parse_float(rest) if kind is MessageKind.LOAD else 0.0))
-        return passed, messages
+        runs: list[MessageRun] = []
+        position = 0
+        for match in self._first_word.finditer(raw, 0, passed):
+            self._add_others(runs, raw, position, match.start())
+            position = raw.index(b"\n", match.end()) + 1
+            kind = self._kinds[match[1]]
+            value = _parse_float(raw[match.end() : position]) if kind is MessageKind.LOAD else 0.0
+            runs.append(MessageRun(kind, value=value))
+        self._add_others(runs, raw, position, passed)
+        return passed, runs
+
+    def _add_others(self, runs: list[MessageRun], raw: bytes, start: int, end: int) -> None:
+        count = raw.count(b"\n", start, end)
+        if count:
+            runs.append(MessageRun(self._other, count))
 
     def at_boundary(self) -> bool:
         """Return True: only complete lines are forwarded."""
@@ -174,9 +185,9 @@
 class PassthroughFramer:
     """Forwards everything at once and counts the lines that end."""
 
-    def feed(self, data: memoryview) -> tuple[int, list[Message]]:
-        """Return the size of the data and one query for each line that ends in it."""
-        return len(data), [Message(MessageKind.QUERY)] * bytes(data).count(b"\n")
+    def feed(self, data: memoryview) -> tuple[int, list[MessageRun]]:
+        """Return the size of the data and a query for each line that ends in it."""
+        return len(data), [MessageRun(MessageKind.QUERY, bytes(data).count(b"\n"))]
 
     def at_boundary(self) -> bool:
         """Return True: this direction is never interrupted."""
--- a/bramblestile/wire/nats.py
+++ b/bramblestile/wire/nats.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import re
 import socket
 import uuid
 from collections.abc import Mapping
@@ -18,7 +19,7 @@
 from bramblestile import sockets
 from bramblestile.clock import ZERO_DURATION, now, to_milliseconds
 from bramblestile.memory.cluster import UpstreamHost
-from bramblestile.memory.connections import Message, MessageKind, ProtocolViolationError, ProxiedConnection
+from bramblestile.memory.connections import MessageKind, MessageRun, ProtocolViolationError, ProxiedConnection
 from bramblestile.protocol import (
     AttemptLimits,
     ClientRequest,
@@ -34,6 +35,8 @@
 
 MAX_LINE_BYTES = 4096  # one control line with its ending; a host's INFO may have four times as many
 PAYLOAD_VERBS = (b"PUB", b"HPUB", b"MSG", b"HMSG")  # their last word is the size of the payload that follows
+OVERLONG_LINE = re.compile(rb"^[^\n]{%d}" % (MAX_LINE_BYTES + 1), re.MULTILINE)
+MAX_SIZE_DIGITS = 12  # of the size of a payload; int() raises ValueError for very long ones
 CONNECT_TIMEOUT = timedelta(seconds=2)  # for the client's CONNECT; NATS servers use the same
 PING, PONG, OK = b"PING\r\n", b"PONG\r\n", b"+OK\r\n"
 
@@ -186,46 +189,84 @@
 
 
 class NatsFramer:
-    """Frames one direction of NATS messages, across reads of any size; payloads may hold any bytes."""
+    """Frames one direction of NATS messages, across reads of any size; payloads may hold any bytes.
+
+    Lines that mean nothing here, and repeated ones, are not looked at one by one: a client may send thousands in one
+    read, and all connections share one interpreter.
+    """
 
     def __init__(self, kinds: Mapping[bytes, MessageKind], max_payload: int | None = None) -> None:
         self._kinds = kinds
         self._max_payload = max_payload  # bytes; None: sizes are not checked, as for upstream hosts
         self._payload_remaining = 0  # bytes of the current payload, with its line ending, still to come
+        words = (*PAYLOAD_VERBS, b"INFO", *kinds)
+        self._lower_words = [word.lower() for word in words]
+        self._first_word = re.compile(rb"^[ \t\r\v\f]*(?:%b)(?=\s)" % b"|".join(words), re.MULTILINE | re.IGNORECASE)
+        # A word alone, as it is usually written, once or several times.
+        self._repeated_words = {word: re.compile(rb"(?:%b\r\n)+" % word) for word in kinds}
 
-    def feed(self, data: memoryview) -> tuple[int, list[Message]]:
+    def feed(self, data: memoryview) -> tuple[int, list[MessageRun]]:
         """Return how much may be forwarded and the control lines that end in it. Raises ProtocolViolationError."""
-        raw, position, messages = bytes(data), 0, []
+        raw, position = bytes(data), 0
+        lowered = raw.lower()
+        has_words = any(word in lowered for word in self._lower_words)
+        runs: list[MessageRun] = []
         while position < len(raw):
             if self._payload_remaining:
                 step = min(self._payload_remaining, len(raw) - position)
                 self._payload_remaining -= step
                 position += step
                 continue
-            end = raw.find(b"\n", position)
-            if (end if end >= 0 else len(raw)) - position > MAX_LINE_BYTES and self._max_payload is not None:
-                raise ProtocolViolationError(LINE_TOO_LONG)
-            if end < 0:
+            position, run = self._next_run(raw, position, has_words)
+            if run is None:
                 break
-            messages.append(self._parse_line(raw[position : end + 1]))
-            position = end + 1
-        return position, messages
-
-    def _parse_line(self, line: bytes) -> Message:
+            runs.append(run)
+        return position, runs
+
+    def _next_run(self, raw: bytes, start: int, has_words: bool) -> tuple[int, MessageRun | None]:
+        """Return the end of the lines of one kind that begin at ``start``, and their run; None if none is complete."""
+        for word, pattern in self._repeated_words.items():
+            match = pattern.match(raw, start)
+            if match is not None:
+                return match.end(), MessageRun(self._kinds[word], (match.end() - start) // (len(word) + 2))
+        # The end of a payload of the wrong size is no line's end, which the pattern of a line's first word relies on.
+        follows_line = not start or raw[start - 1 : start] == b"\n"
+        end = self._skip_other_lines(raw, start, has_words) if follows_line else start
+        if end > start:
+            return end, MessageRun(MessageKind.OTHER, raw.count(b"\n", start, end))
+        end = raw.find(b"\n", start) + 1
+        if (end or len(raw) + 1) - 1 - start > MAX_LINE_BYTES and self._max_payload is not None:
+            raise ProtocolViolationError(LINE_TOO_LONG)
+        if not end:
+            return start, None
+        return end, MessageRun(self._parse_line(raw[start:end]))
+
+    def _skip_other_lines(self, raw: bytes, start: int, has_words: bool) -> int:
+        """Return where the first line from ``start`` on begins that may mean something here, or that is incomplete."""
+        match = self._first_word.search(raw, start) if has_words else None
+        end = raw.rfind(b"\n", start, len(raw) if match is None else match.start()) + 1
+        if end <= start:
+            return start
+        if self._max_payload is not None and OVERLONG_LINE.search(raw, start, end):
+            raise ProtocolViolationError(LINE_TOO_LONG)
+        return end
+
+    def _parse_line(self, line: bytes) -> MessageKind:
+        """Return what a control line means, and expect the payload that it announces."""
         words = line.split()
         word = words[0].upper() if words else b""
         if word in PAYLOAD_VERBS:
-            if not words[-1].isdigit():
+            if not words[-1].isdigit() or len(words[-1]) > MAX_SIZE_DIGITS:
                 if self._max_payload is not None:
                     raise ProtocolViolationError(PARSER_ERROR)
-                return Message(MessageKind.OTHER)
+                return MessageKind.OTHER
             size = int(words[-1])
             if self._max_payload is not None and size > self._max_payload:
                 raise ProtocolViolationError(PAYLOAD_TOO_LARGE)
             self._payload_remaining = size + 2
         if word == b"INFO" and announces_lame_duck(line):
-            return Message(MessageKind.DRAINING)
-        return Message(self._kinds.get(word, MessageKind.OTHER))
+            return MessageKind.DRAINING
+        return self._kinds.get(word, MessageKind.OTHER)
 
     def at_boundary(self) -> bool:
         """Return whether no part of a payload is still to come."""
--- a/tests/load.py
+++ b/tests/load.py
@@ -21,7 +21,7 @@
 from contextlib import contextmanager, suppress
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import Any, Protocol
 
 SETTINGS: dict[str, Any] = {
     "classes": [
@@ -228,10 +228,17 @@
         return address
 
 
+class ListedHosts(Protocol):
+    """Hosts that a list can name."""
+
+    def entries(self) -> list[dict[str, Any]]:
+        """Return the hosts' entries of the list."""
+
+
 class DaemonProcess:
     """A ``python -m bramblestile`` process with its own configuration. ``log_lines`` holds its log so far."""
 
-    def __init__(self, folder: Path, hosts: StubHosts, **config: Any) -> None:
+    def __init__(self, folder: Path, hosts: ListedHosts, **config: Any) -> None:
         self.address = free_address()
         self.path = folder / "config.json"
         self.values = {
@@ -276,12 +283,12 @@
                 remaining = end - time.monotonic()
                 assert remaining > 0 and self._log_changed.wait(remaining), f"no {event}: {self.log_lines}"
 
-    def wait_until_up(self) -> None:
-        """Wait until the process accepts connections."""
+    def wait_until_up(self, address: tuple[str, int] | None = None) -> None:
+        """Wait until the process accepts connections, on the address of its line front or on another one."""
         end = time.monotonic() + 10
         while time.monotonic() < end:
             try:
-                socket.create_connection(self.address).close()
+                socket.create_connection(address or self.address).close()
                 return
             except ConnectionRefusedError:
                 assert self.process.poll() is None, self.log_lines
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -10,7 +10,7 @@
 import pytest
 
 from bramblestile.memory import connections
-from bramblestile.memory.connections import Connections, DelayMonitor, Message, MessageKind, ProxiedConnection
+from bramblestile.memory.connections import Connections, DelayMonitor, MessageKind, MessageRun, ProxiedConnection
 from bramblestile.wire import lines
 
 
@@ -40,7 +40,7 @@
         if ended:
             setattr(connection, ended, True)
         observer = RecordingObserver()
-        connection._handle_messages([Message(MessageKind.SENT_AWAY)], observer)
+        connection._handle_messages([MessageRun(MessageKind.SENT_AWAY)], observer)
         assert observer.drained == drains
 
 
