The ports of the store and of health checks keep 32 connections each

Callers saw: 500 connections to the store's port that stopped in the middle of a command took 137 MB for as long as they stayed.

Cause: these ports had no limit on connections; each to the store holds a buffer of 256 KiB, and nothing ended one that sends no complete command.

Change: the oldest connection gives way to a new one, as on the fronts.

--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -26,6 +26,7 @@
 from bramblestile.life import adopt_connection
 from bramblestile.log import Log
 from bramblestile.memory.counters import Counters
+from bramblestile.memory.pending import PendingDownstreams
 from bramblestile.operations.connection_codec import decode_connection
 from bramblestile.operations.handoff import ProcessHandoff
 from bramblestile.operations.management_api import ManagementApi
@@ -43,9 +44,10 @@
     load_config,
 )
 from bramblestile.process.front import Front, LineFront, NatsFront, naming_key
-from bramblestile.process.listeners import Listener, adopt_listening_socket
+from bramblestile.process.listeners import Listener, Serve, adopt_listening_socket
 from bramblestile.process.mover import MOVE_TICK, ConnectionMover
 from bramblestile.process.shutdown import Shutdown
+from bramblestile.sockets import Address
 from bramblestile.tracing import Tracer, TracerHandle
 from bramblestile.wire import agent
 from vanegw.interface import State
@@ -72,6 +74,7 @@
 SUSPEND_MOVES_START, SUSPEND_MOVES_END = timedelta(milliseconds=200), timedelta(milliseconds=2000)
 SUSPEND_MOVES_MEAN = (SUSPEND_MOVES_START + SUSPEND_MOVES_END) / 2  # a client reconnects only after it is moved
 ORDERS_POLL_INTERVAL = timedelta(milliseconds=100)  # for orders that another process of this balancer has received
+MAX_AUXILIARY_CONNECTIONS = 32  # to a port of the store or of health checks; one to the store may hold 256 KiB
 TRACE_RESTART_TIMEOUT = timedelta(seconds=2)  # for the old recorder to write what it holds
 
 
@@ -264,9 +267,13 @@
         for key, address, name, serve in health_services:
             if address is not None:
                 with naming_key(f"health.{key}", address):
-                    self.auxiliary_listeners[name] = Listener(address, serve, self.counters, name)
+                    self.auxiliary_listeners[name] = self._auxiliary_listener(address, serve, name)
                 self.auxiliary_listeners[name].start()
 
+    def _auxiliary_listener(self, address: Address, serve: Serve, name: str) -> Listener:
+        """Create a listener whose oldest connection gives way to a new one when there are many."""
+        return Listener(address, serve, self.counters, name, PendingDownstreams(MAX_AUXILIARY_CONNECTIONS))
+
     def _wait_until_ready(self) -> None:
         """Wait until this process can serve, and announce that.
 
@@ -474,7 +481,7 @@
             peers.serve(sock, store, config.peers, self.counters)
 
         with naming_key(f"store.peers.{config.name}", config.peers[config.name]):
-            listener = Listener(config.peers[config.name], serve, self.counters, "store")
+            listener = self._auxiliary_listener(config.peers[config.name], serve, "store")
         self.auxiliary_listeners["store"] = listener
         listener.start()
         sender.start()
--- a/tests/test_memory_pressure.py
+++ b/tests/test_memory_pressure.py
@@ -5,11 +5,14 @@
 import contextlib
 import socket
 import time
+from datetime import timedelta
 from pathlib import Path
 from random import Random
 
 import pytest
 
+from bramblestile.wire.peers import send_command
+from tests.load import free_address
 from tests.pressure import ANSWER_TIMEOUT_S, Pressure, many_short_fields, pressure
 
 MEMORY_LIMIT_MB = 192  # of a balancer on the platform
@@ -90,3 +93,23 @@
             sock.close()
         time.sleep(ANSWER_TIMEOUT_S / 5)
         assert under_test.measure().answer_s < ANSWER_TIMEOUT_S
+
+
+def test_connections_to_the_store_do_not_exhaust_the_memory(tmp_path: Path) -> None:
+    """Guards against: each connection to the store's port holds 256 KiB for as long as its caller likes."""
+    store_address = free_address()
+    store = {"name": "s1", "directory": str(tmp_path), "peers": {"s1": "{}:{}".format(*store_address)}}
+    limits = {"memory_mb": MEMORY_LIMIT_MB, "sockets": DESCRIPTOR_LIMIT}
+    with pressure(tmp_path, "lines", limits=limits, store=store) as under_test, contextlib.ExitStack() as stack:
+        before_mb = under_test.memory_mb()
+        for _ in range(CLIENT_COUNT):
+            sock = stack.enter_context(socket.create_connection(store_address, timeout=ANSWER_TIMEOUT_S))
+            with contextlib.suppress(OSError):  # already sent away
+                sock.sendall(b'{"do":"set","key":"a","value":"' + b"x" * 200_000)
+        time.sleep(1)
+        used_mb = under_test.memory_mb()
+        print(f"store: {before_mb:.0f} MB, then {used_mb:.0f} MB")
+        # As for clients without a request: an eighth of the limit at most.
+        assert used_mb - before_mb < MEMORY_LIMIT_MB / 8
+        answer = send_command(store_address, {"do": "get", "key": "a"}, timedelta(seconds=ANSWER_TIMEOUT_S))
+        assert answer["ok"] and under_test.measure().answer_s < ANSWER_TIMEOUT_S
