The decision module keeps no tenant's name, and no placement, of ended connections

Cause: tenant_connections kept a name when its count was back at 0. Related: placements at a host that has not reported a load were pruned at its reports only, so with hosts that report none each connection left a number.

Change: a count of 0 is removed; placements that no later report could count are dropped at the next one. No decision changes.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -825,3 +825,19 @@
     driver.balancer._mask(driver.balancer.backends["b0"], api.Status.CUT)
     for _ in range(20):
         assert actions_of(driver.request(), api.Refuse)
+
+
+@pytest.mark.parametrize("status", [api.Status.SERVED, api.Status.CANCELLED])
+def test_nothing_is_kept_of_connections_that_have_ended(status: api.Status) -> None:
+    """Guards against: clients that make up tenants, or hosts that report no load, make the memory grow without end."""
+    driver = BalancerDriver(replace(SETTINGS, reports_load=False))
+    driver.set_list(*make_backends(2))
+    for number in range(200):
+        attempt = driver.place_request(tenant=f"made-up-{number}", key=number)
+        driver.open_connection(attempt)
+        driver.end_attempt(attempt, status, finished=True)
+        driver.now_us += rules.REPORT_AGE_US // 10
+    balancer = driver.balancer
+    assert not balancer.requests and not balancer.tenant_connections
+    assert sum(len(backend.unreported_placements_us) for backend in balancer.backends.values()) <= 20
+    assert len(balancer.recent_arrivals) <= balancer.load_lifetime_us // (rules.REPORT_AGE_US // 10) + 1
--- a/vanegw/rules.py
+++ b/vanegw/rules.py
@@ -285,7 +285,10 @@
 
     def _count_connection(self, tracked: TrackedRequest, change: int) -> None:
         self.open_connections += change
-        self.tenant_connections[tracked.request.tenant] += change
+        tenant = tracked.request.tenant
+        self.tenant_connections[tenant] += change
+        if not self.tenant_connections[tenant]:
+            del self.tenant_connections[tenant]  # clients may make up names without end
         self._schedule_load_poll()
 
     def _schedule_load_poll(self) -> None:
@@ -375,6 +378,8 @@
         tracked.attempt_pending = True
         tracked.attempt_started_at_us = self.now_us
         tracked.attempt_backend = backend.info
+        if backend.load is None:  # it may never report one; only those of REPORT_AGE_US would count after a report
+            backend.discard_placements_until(self.now_us - REPORT_AGE_US)
         backend.unreported_placements_us.append(self.now_us)
         if self._warmth(backend) < 1:
             self.cold_attempts_us.append(self.now_us)
@@ -772,9 +777,7 @@
                 self.full_load = FULL_LOAD if value in (report.load, report.utilisation) else math.inf
                 backend.load = value
                 backend.load_at_us = self.now_us
-                backend.unreported_placements_us = [
-                    at_us for at_us in backend.unreported_placements_us if self.now_us - at_us < REPORT_AGE_US
-                ]
+                backend.discard_placements_until(self.now_us - REPORT_AGE_US)
                 backend.backlog_s = report.backlog_s if report.backlog_s and _is_plausible(report.backlog_s) else 0.0
                 self.report_count = min(self.report_count + 1, AVERAGE_WINDOW_REPORTS)
                 # A slowed backend reports many times its capacity; to the fleet's average it is no more than full.
--- a/vanegw/state.py
+++ b/vanegw/state.py
@@ -35,6 +35,10 @@
     def __post_init__(self) -> None:
         self.name_hash = int.from_bytes(blake2b(self.info.name.encode(), digest_size=8).digest(), "big")
 
+    def discard_placements_until(self, time_us: int) -> None:
+        """Forget the unreported placements that were made at or before this time."""
+        self.unreported_placements_us = [at_us for at_us in self.unreported_placements_us if at_us > time_us]
+
 
 @dataclass(slots=True)
 class TrackedRequest:
