The store takes no new key while it holds 2,048

Callers saw: one caller that set ever new keys at full speed on one connection made the process, and every peer, grow by 42 MB in 5 s.

Change: the leader refuses a new key beyond the limit and says so; keys that exist can be changed and removed.

Evidence: test_others_are_answered_beside_a_flood_of_commands_to_the_store, 42 MB against 24 allowed before; it passes now.

--- a/bramblestile/store/replica.py
+++ b/bramblestile/store/replica.py
@@ -31,6 +31,7 @@
 MAX_CLOCK_DRIFT = 0.05  # relative, over an election timeout; a quartz clock drifts by a thousandth of it
 MAX_ENTRIES_PER_MESSAGE = 64
 MAX_KEY_BYTES, MAX_VALUE_BYTES = 200, 2000  # keep messages with entries small
+MAX_KEYS = 2048  # each peer holds all keys and values in memory
 COMPACTION_THRESHOLD = 512  # committed entries in the log before they are replaced by a snapshot
 MAX_BATCH_BYTES = 1 << 17  # of entries or of a snapshot chunk in one message
 
--- a/bramblestile/store/service.py
+++ b/bramblestile/store/service.py
@@ -8,7 +8,11 @@
 from datetime import timedelta
 
 from bramblestile.clock import ZERO_DURATION, now
-from bramblestile.store.replica import HEARTBEAT_INTERVAL, MAX_KEY_BYTES, MAX_VALUE_BYTES, Message, Replica
+from bramblestile.store.replica import HEARTBEAT_INTERVAL, MAX_KEY_BYTES, MAX_KEYS, MAX_VALUE_BYTES, Message, Replica
+
+
+class StoreFullError(Exception):
+    """The store holds as many keys as it may."""
 
 
 @dataclass(slots=True)
@@ -68,11 +72,14 @@
 
         Raises:
             ValueError: if the key is empty, or the key or the value is too long.
+            StoreFullError: if the key is new and the store holds ``MAX_KEYS`` others.
         """
         if not 0 < len(key.encode()) <= MAX_KEY_BYTES or len(value.encode()) > MAX_VALUE_BYTES:
             raise ValueError("the key is empty, or the key or the value is too long")
         deadline = now() + timeout
         with self._changed:
+            if value and key not in self.replica.values and len(self.replica.values) >= MAX_KEYS:
+                raise StoreFullError(f"the store is full: it holds {MAX_KEYS} keys")
             index, outbox = (0, []) if self._stopped.is_set() else self.replica.propose(key, value, now())
             term = self.replica.term
         self._dispatch(outbox)
--- a/bramblestile/wire/peers.py
+++ b/bramblestile/wire/peers.py
@@ -15,7 +15,7 @@
 from bramblestile.memory.counters import Counters
 from bramblestile.sockets import Address, LineReader
 from bramblestile.store.replica import Message
-from bramblestile.store.service import Store
+from bramblestile.store.service import Store, StoreFullError
 
 MAX_LINE_BYTES = 1 << 18  # a message full of entries of the maximum size fits
 DIAL_TIMEOUT = timedelta(milliseconds=200)
@@ -106,7 +106,10 @@
         raise ValueError("key and value are text")
     leader = store.leader()
     if leader == store.replica.name:
-        return {"ok": store.set(request["key"], request["value"], COMMAND_TIMEOUT), "leader": leader}
+        try:
+            return {"ok": store.set(request["key"], request["value"], COMMAND_TIMEOUT), "leader": leader}
+        except StoreFullError as error:
+            return {"ok": False, "why": str(error), "leader": leader}
     if not leader or request.get("passed_on"):
         return {"ok": False, "why": "no leader", "leader": leader}
     try:
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import os
+import socket
 import time
 from collections.abc import Callable
+from datetime import timedelta
 from pathlib import Path
 
 import pytest
 
+from bramblestile.wire.peers import send_command
+from tests.load import free_address
 from tests.pressure import ANSWER_TIMEOUT_S, Pressure, Waits, flooding, pressure, read_line
 
 MEMORY_LIMIT_MB = 192  # of a balancer on the platform
@@ -76,3 +80,31 @@
 
         longest = measure_beside(under_test, send_new_names)
         check(under_test, f"{wire}, {sent_bytes / 1e6:.0f} MB of names", longest, before_mb)
+
+
+def test_others_are_answered_beside_a_flood_of_commands_to_the_store(tmp_path: Path) -> None:
+    """Guards against: one caller's unsound commands and ever new keys hold up the fronts, or fill the memory."""
+    address = free_address()
+    store = {"name": "s1", "directory": str(tmp_path), "peers": {"s1": "{}:{}".format(*address)}}
+    with pressure(tmp_path, "lines", store=store) as under_test:
+        before_mb = under_test.memory_mb()
+        wait_for_leader(address)
+        with socket.create_connection(address, timeout=ANSWER_TIMEOUT_S) as sock:
+
+            def send_commands() -> None:
+                for number in range(200):
+                    key = f"{number}{time.monotonic_ns()}"
+                    sock.sendall(b'{"do":"set","key":"%b","value":"%b"}\n' % (key.encode(), b"v" * 900))
+                for _ in range(200):
+                    read_line(sock)
+
+            longest = measure_beside(under_test, send_commands)
+        check(under_test, "store", longest, before_mb)
+
+
+def wait_for_leader(address: tuple[str, int]) -> None:
+    end = time.monotonic() + ANSWER_TIMEOUT_S
+    command = {"do": "set", "key": "a", "value": "b"}
+    while not send_command(address, command, timedelta(seconds=ANSWER_TIMEOUT_S))["ok"]:
+        assert time.monotonic() < end
+        time.sleep(0.05)
