A request is not sent once its client has left, also where much stands unread

Callers saw: a client closed or reset its connection while its request was being dialled, and an image server got the request all the same.

Cause: the end was looked for once, before the dial, and in a way that misses an end which cannot arrive because the socket is full.

Change: one function writes the first bytes on both fronts. Right before them it looks for the client's end, and for more than 16 KiB of unread input; a client that sent so much before its answer is told that its request failed.

--- a/bramblestile/life.py
+++ b/bramblestile/life.py
@@ -139,9 +139,9 @@
         attempt_index = 0  # equals the number of attempts that have failed so far
         while True:
             choice = active.next_choice()
-            if downstream.has_disconnected():
-                reporter.answer(now(), "left", attempt_index)
+            if downstream.has_disconnected() or downstream.sends_too_early():
                 context.decisions.handle_event(api.ClientGone(client_request.id))
+                _end_departed(downstream, active, reporter, attempt_index)
                 return
             if isinstance(choice, api.Refuse):
                 reporter.answer(now(), "refused", attempt_index, wait_us=choice.retry_after_us)
@@ -161,7 +161,6 @@
                 if answer.host_drains:
                     context.on_host_draining(choice.backend)
                 if answer.downstream_left:
-                    reporter.answer(at, "left", attempt_index + 1)
                     context.decisions.handle_event(api.ClientGone(client_request.id))
                 context.decisions.handle_event(
                     api.Outcome(
@@ -174,6 +173,7 @@
                     )
                 )
                 if answer.downstream_left:
+                    _end_departed(downstream, active, reporter, attempt_index + 1)
                     return
                 attempt_index += 1
                 continue
@@ -206,6 +206,18 @@
         downstream.close()
 
 
+def _end_departed(downstream: Downstream, active: ActiveRequest, reporter: _RequestReporter, attempts: int) -> None:
+    """End a request whose client has left, or sends so much before its answer that this cannot be told.
+
+    A client that may still be there is owed its answer.
+    """
+    if downstream.has_disconnected():
+        reporter.answer(now(), "left", attempts)
+    else:
+        reporter.answer(now(), "failed", attempts)
+        _reply(downstream, downstream.fail, active)
+
+
 def _send(context: ServingContext, downstream: Downstream, choice: api.Attempt) -> UpstreamAnswer:
     """Make the upstream request that the module chose."""
     host = context.cluster.find(choice.backend)
@@ -349,7 +361,7 @@
         context.counters.add(f"resume_{status}")
         reporter.attempt(at, 0, name, status, took, answer.detail)
         if answer.downstream_left:
-            reporter.answer(at, "left", 1)
+            _end_departed(downstream, active, reporter, 1)
         else:
             reporter.answer(at, "failed", 1)
             _reply(downstream, downstream.fail, active)
--- a/bramblestile/protocol.py
+++ b/bramblestile/protocol.py
@@ -40,7 +40,10 @@
 
 @dataclass(slots=True, frozen=True)
 class NotEstablished:
-    """An upstream request ended without a connection."""
+    """An upstream request ended without a connection.
+
+    ``downstream_left``: the client has left, or sends so much before its answer that this cannot be told.
+    """
 
     status: Status
     downstream_left: bool = False
@@ -91,6 +94,9 @@
     def has_disconnected(self) -> bool:
         """Return whether the client has closed or reset its connection."""
 
+    def sends_too_early(self) -> bool:
+        """Return whether the client sends so much before its answer that its end would not be noticed."""
+
     def refuse(self, retry_after: timedelta) -> None:
         """Send the local reply "refused": retrying is harmless. A ``retry_after`` of 0 names no time."""
 
--- a/bramblestile/sockets.py
+++ b/bramblestile/sockets.py
@@ -4,10 +4,12 @@
 
 import contextlib
 import errno
+import fcntl
 import os
 import select
 import socket
 import struct
+import termios
 import threading
 from collections.abc import Sequence
 from datetime import timedelta
@@ -183,6 +185,20 @@
     return wait((sock, select.POLLRDHUP), timeout=ZERO_DURATION) is sock
 
 
+def was_reset(sock: socket.socket) -> bool:
+    """Return whether the connection has ended in both directions, as by the peer's reset. Reads no data.
+
+    What arrived before a reset can still be read, and only then does reading fail.
+    """
+    return wait((sock, 0), timeout=ZERO_DURATION) is sock
+
+
+def unread_bytes(sock: socket.socket) -> int:
+    """Return how many received bytes the socket holds."""
+    answer = fcntl.ioctl(sock, termios.FIONREAD, bytes(struct.calcsize("i")))
+    return int(struct.unpack("i", answer)[0])
+
+
 def wait(*interests: tuple[Pollable, int], timeout: timedelta) -> Pollable | None:
     """Wait for poll events and return the first object, in the given order, that is ready; None on timeout."""
     poll = select.poll()
--- a/bramblestile/wire/common.py
+++ b/bramblestile/wire/common.py
@@ -4,6 +4,7 @@
 
 import socket
 from abc import ABC, abstractmethod
+from collections.abc import Sequence
 from datetime import timedelta
 
 from bramblestile import sockets
@@ -20,6 +21,9 @@
 from bramblestile.sockets import LineReader, Transport
 from vanegw.interface import Status
 
+# That a client may send before its answer, for which it is to wait. It is less than a socket holds, so the end of a
+# client that has sent no more has arrived.
+MAX_EARLY_BYTES = 16384
 MAX_PINGS = 16  # before a request: the platform's front sends one, and a client that sends more wants no connection
 
 
@@ -35,6 +39,10 @@
         """Return whether the client has closed or reset its connection."""
         return sockets.has_disconnected(self._sock)
 
+    def sends_too_early(self) -> bool:
+        """Return whether so much unread input waits that the client's end may stand behind it."""
+        return sockets.unread_bytes(self._sock) > MAX_EARLY_BYTES
+
     @abstractmethod
     def refuse(self, retry_after: timedelta) -> None:
         """Send the local reply "refused"."""
@@ -54,6 +62,24 @@
     def _reply(self, line: bytes) -> None:
         sockets.write(self._sock, [line])
 
+    def _send_request(
+        self, upstream: Transport, send_guard: SendGuard, parts: Sequence[bytes | memoryview]
+    ) -> NotEstablished | None:
+        """Write the first bytes of an upstream request, unless that is not allowed any more or the client has left.
+
+        Returns None once all are written, else how the upstream request ends: it cannot have run.
+        """
+        try:
+            with send_guard() as refusal:
+                if refusal is not None:
+                    return NotEstablished(refusal)
+                if self.has_disconnected() or self.sends_too_early():
+                    return NotEstablished(Status.NOT_SENT, downstream_left=True)
+                sockets.write(upstream, parts)
+        except OSError:
+            return NotEstablished(Status.NO_ROUTE)  # broke before the last byte was written
+        return None
+
     def upstream_request(self, dial: Dial, limits: AttemptLimits, send_guard: SendGuard) -> UpstreamAnswer:
         """Dial and send the request. The connection is closed unless the upstream host accepts it."""
         try:
--- a/bramblestile/wire/lines.py
+++ b/bramblestile/wire/lines.py
@@ -224,15 +224,10 @@
         """Send the request line and wait for the first line of the answer; ``UP`` establishes the connection."""
         # The line of a bound connection is sent unchanged: the host knows the connection by it.
         bound = self._request.bound_to is not None
-        try:
-            with send_guard() as refusal:
-                if refusal is not None:
-                    return NotEstablished(refusal)
-                sockets.write(
-                    upstream, [self._open_line.line] if bound else self._open_line.for_upstream(limits.until - now())
-                )
-        except OSError:
-            return NotEstablished(Status.NO_ROUTE)  # broke before the last byte was written, so it cannot have run
+        line_parts = [self._open_line.line] if bound else self._open_line.for_upstream(limits.until - now())
+        unsent = self._send_request(upstream, send_guard, line_parts)
+        if unsent is not None:
+            return unsent
         reader = LineReader(upstream, MAX_LINE_BYTES)
         try:
             remaining = max(limits.until - now(), ZERO_DURATION)
--- a/bramblestile/wire/nats.py
+++ b/bramblestile/wire/nats.py
@@ -323,13 +323,9 @@
                     # It drains: before CONNECT nothing has run, after it the client is sent away.
                     return NotEstablished(Status.CANCELLED if sent else Status.NO_ROOM, host_drains=True)
                 if not sent:
-                    try:
-                        with send_guard() as refusal:
-                            if refusal is not None:
-                                return NotEstablished(refusal)
-                            sockets.write(upstream, [self._connect, PING])
-                    except OSError:
-                        return NotEstablished(Status.NO_ROUTE)
+                    unsent = self._send_request(upstream, send_guard, [self._connect, PING])
+                    if unsent is not None:
+                        return unsent
                     sent = True
             elif word == b"-ERR":
                 return NotEstablished(error_status(received))
--- /dev/null
+++ b/tests/test_departed_clients.py
@@ -0,0 +1,112 @@
+"""Clients that leave: what they asked for, or sent, is not passed on after they have left."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+from random import Random
+
+import pytest
+
+from bramblestile.memory.cluster import UpstreamHost
+from bramblestile.protocol import AttemptLimits
+from bramblestile.sockets import Transport
+from tests.pressure import CONNECT_LINE, open_line
+from tests.scenario import TIMEOUT_S, Peer, Scenario
+
+SEED = 46
+UNREAD_BYTES = 32 << 20  # more than all sockets on the way hold
+SETTLE_S = 0.2  # for the system to deliver an end
+
+
+class HeldDial:
+    """Delays a front's dials until ``release``, as a host that is slow to accept does."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        self.begun = threading.Event()
+        self._released = threading.Event()
+        self._dial = scenario.front.context.dial
+        scenario.front.context.dial = self._held
+
+    def _held(self, host: UpstreamHost, limits: AttemptLimits) -> Transport:
+        self.begun.set()
+        self._released.wait(TIMEOUT_S)
+        return self._dial(host, limits)
+
+    def release(self) -> None:
+        """Let all dials go on."""
+        self._released.set()
+
+
+def request(wire: str) -> bytes:
+    return open_line("1") if wire == "lines" else CONNECT_LINE + b"PING\r\n"
+
+
+def leave(sock: socket.socket, reset: bool) -> None:
+    """Close a client's connection, in order or with a reset."""
+    if reset:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def fill(sock: socket.socket, data: bytes) -> int:
+    """Send as much of the data as the sockets on the way hold, and return how much that was."""
+    sock.setblocking(False)
+    view, idle_until = memoryview(data), time.monotonic() + SETTLE_S
+    while view and time.monotonic() < idle_until:
+        with contextlib.suppress(BlockingIOError):
+            view = view[sock.send(view) :]
+            idle_until = time.monotonic() + SETTLE_S
+    return len(data) - len(view)
+
+
+def read_all(peer: Peer) -> bytes:
+    """Return what a host still receives until the end of its connection."""
+    with contextlib.suppress(ConnectionResetError):
+        while peer.receive():
+            pass
+    return peer.buffer
+
+
+@pytest.mark.parametrize("wire", ["lines", "nats"])
+@pytest.mark.parametrize("reset", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize("unread_bytes", [0, 2000, UNREAD_BYTES])
+def test_request_of_a_client_that_left_during_the_dial_is_not_sent(wire: str, reset: bool, unread_bytes: int) -> None:
+    """Guards against: the end of a client stands behind unread bytes, or comes during a dial, and its request runs."""
+    scenario = Scenario(wire, connect_timeout_us=1_000_000)
+    held = HeldDial(scenario)
+    scenario.run("c1 greeted")
+    client = scenario.peer("c1").sock
+    client.sendall(request(wire))
+    assert held.begun.wait(TIMEOUT_S)
+    fill(client, Random(SEED).randbytes(unread_bytes).replace(b"\n", b"\0"))
+    leave(client, reset)
+    time.sleep(SETTLE_S)
+    held.release()
+    host = scenario.peer("b0")
+    if wire == "nats":
+        scenario.run("b0 hello")
+    assert read_all(host) == b""
+
+
+@pytest.mark.parametrize("wire", ["lines", "nats"])
+def test_client_that_sends_much_before_its_answer_is_told_so(wire: str) -> None:
+    """Its end could stand behind what it has sent, so its request is not sent; but it is owed its answer."""
+    scenario = Scenario(wire, connect_timeout_us=1_000_000)
+    held = HeldDial(scenario)
+    scenario.run("c1 greeted")
+    client = scenario.peer("c1").sock
+    client.sendall(request(wire))
+    assert held.begun.wait(TIMEOUT_S)
+    fill(client, bytes(UNREAD_BYTES))
+    held.release()
+    host = scenario.peer("b0")
+    if wire == "nats":
+        scenario.run("b0 hello")
+    client.setblocking(True)
+    client.settimeout(TIMEOUT_S)
+    assert client.recv(1000) == (b"ERR\r\n" if wire == "lines" else b"-ERR 'Stale Connection'\r\n")
+    assert read_all(host) == b""
