What a client sent before it reset its connection is not sent on afterwards

Callers saw: an image server went on getting what a client had sent, up to megabytes, after the client had reset its connection or closed it with answers unread.

Cause: the system reports a reset only when all that arrived before it is read, and the forwarding thread read and sent all of it.

Change: when a read fills the buffer, the thread looks whether the connection still stands. What came before an end in order is still delivered.

--- a/bramblestile/memory/connections.py
+++ b/bramblestile/memory/connections.py
@@ -352,6 +352,10 @@
             if received == 0:
                 break
             size += received
+            # A full buffer: more may wait that came before a reset, and the client wants nothing of it any more.
+            if size == len(buffer) and sockets.was_reset(self.downstream):
+                self.downstream_reset = True
+                break
         if self.closed.is_set() or self.moved:
             return
         if self.downstream_reset:
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -7,10 +7,13 @@
 import struct
 import threading
 import time
+from collections.abc import Sequence
 from random import Random
 
 import pytest
 
+from bramblestile import sockets
+from bramblestile.memory import connections
 from bramblestile.memory.cluster import UpstreamHost
 from bramblestile.protocol import AttemptLimits
 from bramblestile.sockets import Transport
@@ -20,6 +23,7 @@
 SEED = 46
 UNREAD_BYTES = 32 << 20  # more than all sockets on the way hold
 SETTLE_S = 0.2  # for the system to deliver an end
+ESTABLISHED = "c1 ask\nb0 taken\nb0 up\nc1 served\n"
 
 
 class HeldDial:
@@ -110,3 +114,38 @@
     client.settimeout(TIMEOUT_S)
     assert client.recv(1000) == (b"ERR\r\n" if wire == "lines" else b"-ERR 'Stale Connection'\r\n")
     assert read_all(host) == b""
+
+
+class WriteRecorder:
+    """Records how many bytes are written to each socket."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self._write = sockets.write
+        self.written: dict[int, int] = {}
+        monkeypatch.setattr(sockets, "write", self._record)
+
+    def _record(self, transport: Transport, parts: Sequence[bytes | memoryview]) -> None:
+        self._write(transport, parts)
+        key = id(transport)
+        self.written[key] = self.written.get(key, 0) + sum(map(len, parts))
+
+
+@pytest.mark.parametrize("wire", ["lines", "nats"])
+def test_messages_of_a_client_that_broke_its_connection_are_not_sent_afterwards(
+    wire: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against: a client resets its connection with much still unread here, and the host gets it all later."""
+    recorder = WriteRecorder(monkeypatch)
+    scenario = Scenario(wire)
+    scenario.run(ESTABLISHED)
+    (connection,) = scenario.front.connections.all()
+    client = scenario.peer("c1").sock
+    # On the line front without a line's end: the host owes no answer, so its silence moves nobody.
+    unread = fill(client, (b"x" * 8 if wire == "lines" else b"a line\r\n") * (UNREAD_BYTES // 8))
+    before = recorder.written[id(connection.upstream)]
+    leave(client, reset=True)
+    read_all(scenario.peer("b0"))
+    sent_after = recorder.written[id(connection.upstream)] - before
+    print(f"{wire}: {unread} bytes sent by the client, {sent_after} written to the host after the reset")
+    # The write that the reset meets goes on, and the read before it may have returned.
+    assert sent_after <= 2 * connections.FORWARD_BUFFER_BYTES
