An id that may have run does not run again, also at the other process of an upgrade

Callers saw: a client left while its request was out, came again under its id, and a host ran it twice; so for an id whose connection had ended, and for one that was open at the other process during an upgrade.

Cause: an id was remembered only while its request was open, by each process for itself.

Change: an id is claimed before anything is sent, in a table of fixed size with hashes, which both processes of an upgrade open as one file. A failed claim is answered ERR, as an id in use was.

tests/load.py: each load drew its ids from its seed, so a second load with the same seed repeated them, which no client may do; they are new for each now. test_a_missing_folder_delays_nothing_and_is_used_once_it_exists had failed by that; it asks no less than before.

Not shown on NATS, whose clients send no ids.

--- a/bramblestile/life.py
+++ b/bramblestile/life.py
@@ -123,7 +123,9 @@
         is_retry=client_request.is_retry,
         is_return=client_request.is_reconnect,
     )
-    active = context.decisions.register(client_request.id, arrived + client_request.timeout)
+    active = context.decisions.register(
+        client_request.id, arrived + client_request.timeout, is_known_to_host=client_request.bound_to is not None
+    )
     if active is None:
         # Not reported as a request: its id belongs to another one, and a trace would mix the two up.
         context.counters.add("ids_in_use")
@@ -145,6 +147,7 @@
                 return
             if isinstance(choice, api.Refuse):
                 reporter.answer(now(), "refused", attempt_index, wait_us=choice.retry_after_us)
+                active.may_have_run = False  # or a repeat is harmless, and the client is told to come again
                 _reply(downstream, partial(downstream.refuse, from_microseconds(choice.retry_after_us)), active)
                 return
             if isinstance(choice, api.Fail):
@@ -152,10 +155,12 @@
                 _reply(downstream, downstream.fail, active)
                 return
             sent = now()
+            may_have_run_before, active.may_have_run = active.may_have_run, True
             answer = _send(context, downstream, choice)
             at = now()
             took = to_microseconds(at - sent)
             if isinstance(answer, NotEstablished):
+                active.may_have_run = may_have_run_before or answer.status.request_may_have_run
                 context.counters.add(f"upstream_{answer.status.name.lower()}")
                 reporter.attempt(at, attempt_index, choice.backend, answer.status.name.lower(), took, answer.detail)
                 if answer.host_drains:
@@ -299,7 +304,7 @@
 
     Returns False where the request's id is in use here or no thread can be started.
     """
-    active = context.decisions.register(request.id, now())
+    active = context.decisions.register(request.id, now(), is_known_to_host=True)
     if active is None:
         return False
     active.is_over = True  # the process that placed it has answered it
--- a/bramblestile/memory/decisions.py
+++ b/bramblestile/memory/decisions.py
@@ -17,6 +17,7 @@
 from bramblestile.log import Log
 from bramblestile.memory.cluster import Cluster, HostSetting, UpstreamHost
 from bramblestile.memory.counters import Counters
+from bramblestile.memory.request_ids import RequestIds
 from bramblestile.tracing import Tracer, TracerHandle
 from vanegw import handover
 from vanegw import interface as api
@@ -67,6 +68,7 @@
         self.choices: SimpleQueue[Choice | None] = SimpleQueue()  # None: the deadline has changed
         self.host = ""  # the host that its connection is open to
         self.is_over = False  # its final answer has been given, here or by the process that placed it
+        self.may_have_run = False  # an upstream host may have acted on it, so its id must not run again
 
     def next_choice(self) -> Choice:
         """Wait for the module's next choice; ``Fail`` if none comes in time, because the client is owed an answer."""
@@ -112,6 +114,7 @@
         self._timer_sequence = 0  # orders timers that are due at the same time
         self._stopped = False
         self._active_requests: dict[str, ActiveRequest] = {}
+        self.request_ids: RequestIds | None = None  # None: the protocol's clients send no ids
         self.on_probe: Callable[[str], None] = lambda host: None
         self.on_move: Callable[[str], None] = lambda connection: None
         self.on_subscribe: Callable[[], None] = lambda: None
@@ -149,20 +152,40 @@
             self._counters.add("recall_refused")
             self._log.warning("recall", text=f"ignored: {error!r}")
 
-    def register(self, request_id: str, deadline: timedelta) -> ActiveRequest | None:
-        """Reserve a request id until it is unregistered; None while another request holds it.
+    def register(self, request_id: str, deadline: timedelta, is_known_to_host: bool = False) -> ActiveRequest | None:
+        """Reserve a request id until it is unregistered; None while another request holds it, or if it may have run.
 
         A client that sends the id of another client's open request must not be able to answer, move or end that one.
+        ``is_known_to_host`` marks a connection that an upstream host holds already: it does not run again.
         """
         active = ActiveRequest(request_id, deadline)
         with self._lock:
-            return active if self._active_requests.setdefault(request_id, active) is active else None
+            if self._active_requests.setdefault(request_id, active) is not active:
+                return None
+        if is_known_to_host:
+            active.may_have_run = True
+        elif self.request_ids is not None and not self.request_ids.claim(request_id):
+            with self._lock:
+                del self._active_requests[request_id]
+            return None
+        return active
 
     def unregister(self, active: ActiveRequest) -> None:
-        """Release the id of a request that has ended."""
+        """Release the id of a request that has ended; it is remembered if the request may have run."""
+        if self.request_ids is not None and active.may_have_run:
+            self.request_ids.keep([active.id])
+        elif self.request_ids is not None:
+            self.request_ids.release(active.id)
         with self._lock:
             del self._active_requests[active.id]
 
+    def keep_active_ids(self) -> None:
+        """Remember the ids of all open requests from now on, for the other process of an upgrade."""
+        with self._lock:
+            ids = list(self._active_requests)
+        if self.request_ids is not None:
+            self.request_ids.keep(ids)
+
     def shut_down(self) -> None:
         """Have the module answer every request as soon as it can. One that it has lost track of fails."""
         self.handle_event(api.Shutdown())
--- a/bramblestile/operations/orders.py
+++ b/bramblestile/operations/orders.py
@@ -122,6 +122,11 @@
     return Orders(tables[0], tables[1], drained)
 
 
+def state_file_name(instance: str, kind: str) -> str:
+    """Return the name of an instance's file of one kind, in the folder that its processes share."""
+    return f"bramblestile-{re.sub(r'[^A-Za-z0-9_.-]', '_', instance)[:64]}.{kind}"
+
+
 class OrderStore:
     """The orders in force, saved in a file of the balancer ``name`` in ``folder``.
 
@@ -129,8 +134,7 @@
     """
 
     def __init__(self, folder: Path | None, name: str) -> None:
-        safe_name = re.sub(r"[^A-Za-z0-9_.-]", "_", name)[:64]
-        self._path = None if folder is None else folder / f"bramblestile-{safe_name}.orders"
+        self._path = None if folder is None else folder / state_file_name(name, "orders")
         self._log = Log(part="orders")
         self._file_stamp: tuple[int, int, int] | None = (
             None  # inode, mtime and size of the file as last read or written
--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -27,11 +27,12 @@
 from bramblestile.log import Log
 from bramblestile.memory.counters import Counters
 from bramblestile.memory.pending import PendingDownstreams
+from bramblestile.memory.request_ids import RETENTION, RequestIds
 from bramblestile.operations.connection_codec import decode_connection
 from bramblestile.operations.handoff import ProcessHandoff
 from bramblestile.operations.management_api import ManagementApi
 from bramblestile.operations.move_schedule import MoveSchedule
-from bramblestile.operations.orders import Orders, OrderStore
+from bramblestile.operations.orders import Orders, OrderStore, state_file_name
 from bramblestile.operations.server import ManagementServer, forward_call
 from bramblestile.process.config import (
     Config,
@@ -73,6 +74,7 @@
 # the time until then, because each is of use until it is moved.
 SUSPEND_MOVES_START, SUSPEND_MOVES_END = timedelta(milliseconds=200), timedelta(milliseconds=2000)
 SUSPEND_MOVES_MEAN = (SUSPEND_MOVES_START + SUSPEND_MOVES_END) / 2  # a client reconnects only after it is moved
+ACTIVE_IDS_INTERVAL = RETENTION / 4  # between two notes that the ids of open requests are in use
 ORDERS_POLL_INTERVAL = timedelta(milliseconds=100)  # for orders that another process of this balancer has received
 MAX_AUXILIARY_CONNECTIONS = 32  # to a port of the store or of health checks; one to the store may hold 256 KiB
 TRACE_RESTART_TIMEOUT = timedelta(seconds=2)  # for the old recorder to write what it holds
@@ -219,6 +221,8 @@
             except ValueError as error:
                 raise ConfigError(f"EDGE_SOCKET_FD: {error}") from None
             if config.state_directory is not None:
+                ids_path = config.state_directory / state_file_name(self.lines.config.name, "ids")
+                self.lines.decisions.request_ids = RequestIds(ids_path)
                 self.handoff = ProcessHandoff(config.state_directory, self.counters)
                 self.handoff.adopt = self._adopt_connection
                 self.handoff.export_state, self.handoff.import_state = (
@@ -246,6 +250,7 @@
         self._apply_orders(self.order_store.orders)
         if self.handoff is not None:
             self.handoff.start()
+            threading.Thread(target=self._keep_active_ids, name="request ids", daemon=True).start()
         for front in self.fronts:
             front.start()
         if self.gossip is not None:
@@ -298,6 +303,12 @@
             self.handoff.announce_ready()  # before ``ready``: who sees that may stop the predecessor at once
         self.ready.set()
 
+    def _keep_active_ids(self) -> None:
+        """Keep the ids of open requests in the table that the other process of an upgrade reads."""
+        assert self.lines is not None
+        while not self.stopping.wait(ACTIVE_IDS_INTERVAL.total_seconds()):
+            self.lines.decisions.keep_active_ids()
+
     def _import_state(self, part: dict[str, Any]) -> None:
         """Import a part of the state that the predecessor's decisions have learned, or store it until this is ready."""
         with self._import_lock:
--- a/bramblestile/process/front.py
+++ b/bramblestile/process/front.py
@@ -23,6 +23,7 @@
 from bramblestile.memory.counters import Counters
 from bramblestile.memory.decisions import Decisions
 from bramblestile.memory.pending import PendingDownstreams
+from bramblestile.memory.request_ids import RequestIds
 from bramblestile.process.config import ConfigError, FrontConfig, NatsConfig, TlsConfig
 from bramblestile.process.listeners import Listener
 from bramblestile.protocol import AttemptLimits
@@ -380,6 +381,10 @@
     name = "lines"
     address_key = "listen"
 
+    def __init__(self, config: FrontConfig, counters: Counters, tracing: TracerHandle | None = None) -> None:
+        super().__init__(config, counters, tracing)
+        self.decisions.request_ids = RequestIds()
+
     def make_prober(self) -> tuple[ProbeHost, Callable[[], None]]:
         """Return the functions described at ``Front.make_prober``, with a connection for the line protocol."""
         prober = lines.Prober(self._dial)
--- a/tests/load.py
+++ b/tests/load.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import os
 import signal
@@ -168,8 +169,15 @@
         return False
     try:
         writer.write(
-            b"OPEN %016x %016x c=%s,t=%s,d=1500,g=%x\r\n"
-            % (random.getrandbits(64), number * 0x9E3779B97F4A7C15 % 2**64, cls.encode(), tenant.encode(), number % 50)
+            b"OPEN %x-%016x %016x c=%s,t=%s,d=1500,g=%x\r\n"
+            % (
+                next(_client_numbers),
+                random.getrandbits(64),
+                number * 0x9E3779B97F4A7C15 % 2**64,
+                cls.encode(),
+                tenant.encode(),
+                number % 50,
+            )
         )
         answer = (await reader.readline()).split()
         answers[answer[0].decode() if answer else "cut"] += 1
@@ -228,6 +236,9 @@
         return address
 
 
+_client_numbers = itertools.count()  # part of each request's id, which is new for every connection of every load
+
+
 class ListedHosts(Protocol):
     """Hosts that a list can name."""
 
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -7,6 +7,7 @@
 import struct
 import threading
 import time
+from collections import Counter
 from collections.abc import Sequence
 from random import Random
 
@@ -23,7 +24,11 @@
 SEED = 46
 UNREAD_BYTES = 32 << 20  # more than all sockets on the way hold
 SETTLE_S = 0.2  # for the system to deliver an end
-ESTABLISHED = "c1 ask\nb0 taken\nb0 up\nc1 served\n"
+# No message waits for an answer, so the silence of the host moves nobody.
+ESTABLISHED = {
+    "lines": "c1 send OPEN 1 2 c=feed,d=1500\nb0 expect OPEN *\nb0 send UP r1\nc1 served\n",
+    "nats": "c1 ask\nb0 taken\nb0 up\nc1 served\n",
+}
 
 
 class HeldDial:
@@ -117,17 +122,33 @@
 
 
 class WriteRecorder:
-    """Records how many bytes are written to each socket."""
+    """Records how many bytes are written to each socket, and to which a write is under way."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self._write = sockets.write
-        self.written: dict[int, int] = {}
+        self.written: Counter[int] = Counter()
+        self.under_way: set[int] = set()
         monkeypatch.setattr(sockets, "write", self._record)
 
     def _record(self, transport: Transport, parts: Sequence[bytes | memoryview]) -> None:
-        self._write(transport, parts)
         key = id(transport)
-        self.written[key] = self.written.get(key, 0) + sum(map(len, parts))
+        self.under_way.add(key)
+        try:
+            self._write(transport, parts)
+        finally:
+            self.under_way.discard(key)
+        self.written[key] += sum(map(len, parts))
+
+    def fill_until_blocked(self, client: socket.socket, message: bytes, transport: Transport) -> int:
+        """Send messages until the write that passes them on makes no progress; return the bytes written before it."""
+        key, end = id(transport), time.monotonic() + TIMEOUT_S
+        while time.monotonic() < end:
+            fill(client, message * (UNREAD_BYTES // len(message)))
+            before = self.written[key]
+            time.sleep(SETTLE_S)
+            if key in self.under_way and self.written[key] == before:
+                return before
+        raise AssertionError("the writes go on")
 
 
 @pytest.mark.parametrize("wire", ["lines", "nats"])
@@ -137,15 +158,14 @@
     """Guards against: a client resets its connection with much still unread here, and the host gets it all later."""
     recorder = WriteRecorder(monkeypatch)
     scenario = Scenario(wire)
-    scenario.run(ESTABLISHED)
+    scenario.run(ESTABLISHED[wire])
     (connection,) = scenario.front.connections.all()
     client = scenario.peer("c1").sock
-    # On the line front without a line's end: the host owes no answer, so its silence moves nobody.
-    unread = fill(client, (b"x" * 8 if wire == "lines" else b"a line\r\n") * (UNREAD_BYTES // 8))
-    before = recorder.written[id(connection.upstream)]
+    message = b"x" * 8 if wire == "lines" else b"a line\r\n"
+    before = recorder.fill_until_blocked(client, message, connection.upstream)
     leave(client, reset=True)
     read_all(scenario.peer("b0"))
     sent_after = recorder.written[id(connection.upstream)] - before
-    print(f"{wire}: {unread} bytes sent by the client, {sent_after} written to the host after the reset")
+    print(f"{wire}: {before} bytes written to the host before the reset, {sent_after} after it")
     # The write that the reset meets goes on, and the read before it may have returned.
     assert sent_after <= 2 * connections.FORWARD_BUFFER_BYTES
