A change of a host is applied and reported to the decision module in one step

Callers saw nothing yet: a drain that was stored while a list was being applied could be forgotten by the module, which then went on choosing the host and moved none of its clients.

Cause: a change was applied to the cluster under its lock and reported after that, so of two threads the first could report last.

Change: both are one step under a lock of their own, on all paths.

Evidence: the test that comes with this, which interrupts a thread between the two, failed before and passes now.

--- a/bramblestile/memory/decisions.py
+++ b/bramblestile/memory/decisions.py
@@ -109,6 +109,9 @@
         self._cluster = cluster
         self._counters = counters
         self._lock = threading.Lock()
+        # Held while a change is applied to the cluster and reported to the module, so that the module learns of all
+        # changes in their order. It is taken before ``_lock``.
+        self._hosts_lock = threading.Lock()
         self._timers_changed = threading.Condition(threading.Lock())
         self._timers: list[tuple[timedelta, int, str]] = []  # a heap: due time, sequence number, token
         self._timer_sequence = 0  # orders timers that are due at the same time
@@ -208,30 +211,31 @@
 
         The cluster is updated before the module, which may choose a new host at once.
         """
-        effective = [] if mode is api.ListMode.UNAVAILABLE else self._cluster.update(mode, hosts)
         if mode is api.ListMode.UNAVAILABLE:
             self._counters.add("list_unavailable")
-        self.handle_event(api.BackendList(mode, tuple(to_backend(h) for h in effective)))
+        with self._hosts_lock:
+            effective = [] if mode is api.ListMode.UNAVAILABLE else self._cluster.update(mode, hosts)
+            self.handle_event(api.BackendList(mode, tuple(to_backend(h) for h in effective)))
 
     def apply_check(self, name: str, takes_work: bool | None, weight_share: float | None = None) -> bool:
         """Apply a health check's result (see ``Cluster.apply_check``). Returns whether it changes the host."""
-        return self._report_change(self._cluster.apply_check(name, takes_work, weight_share))
+        return self._change_host(lambda: self._cluster.apply_check(name, takes_work, weight_share))
 
     def apply_stored_setting(self, name: str, setting: HostSetting) -> bool:
         """Apply what the replicated store holds of a host. Returns whether it changes the host."""
-        return self._report_change(self._cluster.apply_stored_setting(name, setting))
+        return self._change_host(lambda: self._cluster.apply_stored_setting(name, setting))
 
     def mark_draining(self, name: str) -> bool:
         """Record a host's own announcement that it drains. Returns whether it changes the host."""
-        return self._report_change(self._cluster.mark_draining(name))
+        return self._change_host(lambda: self._cluster.mark_draining(name))
 
     def end_draining(self, name: str) -> None:
         """Record that a host no longer announces that it drains."""
-        self._report_change(self._cluster.end_draining(name))
+        self._change_host(lambda: self._cluster.end_draining(name))
 
     def set_closed(self, name: str, closed: bool) -> None:
         """Stop or allow new connections to a host; existing ones stay."""
-        self._report_change(self._cluster.set_closed(name, closed))
+        self._change_host(lambda: self._cluster.set_closed(name, closed))
 
     def load_figures(self) -> dict[str, tuple[float | None, bool]]:
         """Return each host's load as last reported, and whether it is masked because of failures."""
@@ -241,13 +245,17 @@
 
     def refresh_hosts(self, names: Sequence[str]) -> None:
         """Report the effective state of these hosts to the module."""
-        effective = [host for name in names if (host := self._cluster.find(name)) is not None]
-        if effective:
-            self.handle_event(api.BackendList(api.ListMode.CHANGES, tuple(to_backend(h) for h in effective)))
-
-    def _report_change(self, host: UpstreamHost | None) -> bool:
-        if host is not None:
-            self.handle_event(api.BackendList(api.ListMode.CHANGES, (to_backend(host),)))
+        with self._hosts_lock:
+            effective = [host for name in names if (host := self._cluster.find(name)) is not None]
+            if effective:
+                self.handle_event(api.BackendList(api.ListMode.CHANGES, tuple(to_backend(h) for h in effective)))
+
+    def _change_host(self, change: Callable[[], UpstreamHost | None]) -> bool:
+        """Apply a change to the cluster and report the host that it returns. Returns whether it returns one."""
+        with self._hosts_lock:
+            host = change()
+            if host is not None:
+                self.handle_event(api.BackendList(api.ListMode.CHANGES, (to_backend(host),)))
         return host is not None
 
     def handle_event(self, event: api.Event) -> None:
--- a/tests/test_stored_settings.py
+++ b/tests/test_stored_settings.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+import threading
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
@@ -20,6 +21,7 @@
 
 A, B = UpstreamHost("a", ("127.0.0.1", 1)), UpstreamHost("b", ("127.0.0.1", 2))
 SECOND = timedelta(seconds=1)
+WAIT_S = 0.3
 
 
 @pytest.fixture
@@ -120,3 +122,29 @@
             if front.cluster.find("a") is not None:
                 expected = State.DRAINING if stored == "drain" else State.RUNNING
                 assert state_of(front) is expected, (step, event, front.name)
+
+
+def test_drain_that_is_stored_while_a_list_is_applied_is_not_overtaken_by_it(daemon: Daemon) -> None:
+    """Guards against: the module learns of the older state last, places clients on the host and moves none away."""
+    for front in daemon.fronts:
+        front.decisions.update_list(ListMode.COMPLETE, [B])
+        update = front.cluster.update
+        stored = threading.Thread(target=daemon.apply_store_entry, args=("hosts/a", "drain"))
+
+        def update_and_wait(
+            mode: ListMode,
+            hosts: Sequence[UpstreamHost],
+            update: Callable[..., list[UpstreamHost]] = update,
+            stored: threading.Thread = stored,
+        ) -> list[UpstreamHost]:
+            effective = update(mode, hosts)
+            stored.start()
+            stored.join(WAIT_S)  # as when this thread is interrupted here
+            return effective
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(front.cluster, "update", update_and_wait)
+            front.decisions.update_list(ListMode.COMPLETE, [A, B])
+        stored.join()
+        assert state_of(front) is State.DRAINING
+        daemon.apply_store_entry("hosts/a", "up")
