The daemon's part of the store moves to process/store_peer.py

daemon.py made, started and stopped four objects of the store and knew its keys; StorePeer does now.

--- a/bramblestile/process/daemon.py
+++ b/bramblestile/process/daemon.py
@@ -17,7 +17,6 @@
 from dataclasses import replace
 from datetime import timedelta
 from queue import Empty, SimpleQueue
-from random import Random
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
@@ -25,6 +24,7 @@
 from bramblestile.clock import ZERO_DURATION, now
 from bramblestile.life import adopt_connection
 from bramblestile.log import Log
+from bramblestile.memory.cluster import HostSetting
 from bramblestile.memory.counters import Counters
 from bramblestile.memory.pending import PendingDownstreams
 from bramblestile.memory.request_ids import RETENTION, RequestIds
@@ -55,9 +55,8 @@
 
 if TYPE_CHECKING:
     from bramblestile.fleet.gossip import Gossip
-    from bramblestile.store.service import Store
+    from bramblestile.process.store_peer import StorePeer
     from bramblestile.trace.recorder import Recorder
-    from bramblestile.wire.peers import PeerSender
     from bramblestile.work.planner import MachineView
     from bramblestile.work.service import MaintenanceService, RoutingConstraints
 
@@ -175,10 +174,7 @@
         self.recorder: Recorder | None = None
         self.is_shutting_down = False
         self.stopping = threading.Event()
-        self.peers: PeerSender | None = None
-        self.store: Store | None = None
-        if config.store is not None:
-            self._make_store(config.store, config.seed)
+        self.store_peer = None if config.store is None else self._make_store_peer(config.store, config.seed)
         self.config = config
         self.health = config.health
         self.auxiliary_listeners: dict[str, Listener] = {}
@@ -258,8 +254,8 @@
         if self.maintenance is not None:
             self.maintenance.start()
         threading.Thread(target=self._wait_until_ready, name="ready", daemon=True).start()
-        if self.config.store is not None and self.store is not None and self.peers is not None:
-            self._start_store(self.config.store, self.store, self.peers)
+        if self.store_peer is not None:
+            self.auxiliary_listeners["store"] = self.store_peer.start(self._auxiliary_listener)
         health_services = (
             ("agent", self.health.agent, "agent_check", lambda sock: agent.serve_agent_check(sock, self.health_report)),
             (
@@ -470,51 +466,20 @@
             self.recorder.process_stopped(now(), len(self._mover.connections()))
             self.recorder.stop()
 
-    def _make_store(self, config: StoreConfig, seed: int) -> None:
-        """Create the store; its modules are imported only here, as the platform uses none."""
-        from bramblestile.store.journal import Journal, JournalError
-        from bramblestile.store.replica import Replica
-        from bramblestile.store.service import Store
-        from bramblestile.wire.peers import PeerSender
+    def _make_store_peer(self, config: StoreConfig, seed: int) -> StorePeer:
+        """Create the store's peer; its modules are imported only here, as the platform uses none."""
+        from bramblestile.process.store_peer import StorePeer
 
-        self.peers = PeerSender(config.peers, config.name, self.counters)
-        try:
-            journal = Journal(config.directory / f"{config.name}.journal")
-        except (JournalError, OSError) as error:
-            raise ConfigError(f"store.directory: {error}") from None
-        replica = Replica(config.name, list(config.peers), journal, Random(f"{seed} {config.name}"), now())
-        self.store = Store(replica, self.peers.send, self.apply_store_entry)
-
-    def _start_store(self, config: StoreConfig, store: Store, sender: PeerSender) -> None:
-        from bramblestile.wire import peers
-
-        def serve(sock: socket.socket) -> None:
-            peers.serve(sock, store, config.peers, self.counters)
-
-        with naming_key(f"store.peers.{config.name}", config.peers[config.name]):
-            listener = self._auxiliary_listener(config.peers[config.name], serve, "store")
-        self.auxiliary_listeners["store"] = listener
-        listener.start()
-        sender.start()
-        store.start()
+        return StorePeer(config, seed, self.counters, self._apply_stored_setting)
 
-    def apply_store_entry(self, key: str, value: str) -> None:
-        """Apply an entry that the peers have committed. ``hosts/NAME`` holds operators' setting of that host.
-
-        Only the key's last value counts, so that all instances agree, whether they have seen the earlier ones or not.
-        """
-        kind, _, name = key.partition("/")
-        if kind == "hosts":
-            setting = agent.parse_host_setting(value)
-            for front in self.fronts:
-                front.on_stored_setting(name, setting)
+    def _apply_stored_setting(self, host: str, setting: HostSetting) -> None:
+        for front in self.fronts:
+            front.on_stored_setting(host, setting)
 
     def stop_store(self) -> None:
         """Stop the store and its listener, if there are any."""
-        if self.store is not None and self.peers is not None:
-            self.auxiliary_listeners["store"].stop()
-            self.peers.stop()
-            self.store.stop()
+        if self.store_peer is not None:
+            self.store_peer.stop()
 
     # Balancer: what the maintenance service needs.
 
--- a/tests/test_stored_settings.py
+++ b/tests/test_stored_settings.py
@@ -27,12 +27,18 @@
 @pytest.fixture
 def daemon(tmp_path: Path) -> Iterator[Daemon]:
     """A daemon with both fronts and a store, not started: the tests bring it the news themselves."""
-    store = {"name": "s1", "directory": str(tmp_path), "peers": {"s1": "127.0.0.1:1"}}
-    values = {"listen": "127.0.0.1:0", "nats": {"listen": "127.0.0.1:0"}, "settings": SETTINGS, "store": store}
+    table = {"name": "s1", "directory": str(tmp_path), "peers": {"s1": "127.0.0.1:1"}}
+    values = {"listen": "127.0.0.1:0", "nats": {"listen": "127.0.0.1:0"}, "settings": SETTINGS, "store": table}
     created = Daemon(config.parse_config(values))
-    assert [front.name for front in created.fronts] == ["lines", "nats"] and created.store is not None
+    assert [front.name for front in created.fronts] == ["lines", "nats"] and created.store_peer is not None
     yield created
-    created.store.stop()
+    created.store_peer.stop()
+
+
+def store(daemon: Daemon, key: str, value: str) -> None:
+    """Report an entry as the store does once the peers have committed it."""
+    assert daemon.store_peer is not None
+    daemon.store_peer.apply_entry(key, value)
 
 
 def state_of(front: Front, name: str = "a") -> State:
@@ -44,7 +50,7 @@
 
 def test_stored_drain_of_a_host_that_is_listed_later_is_applied(daemon: Daemon) -> None:
     """Guards against: a restarted instance hears the store before the list, and sends clients to the drained host."""
-    daemon.apply_store_entry("hosts/a", "drain")
+    store(daemon, "hosts/a", "drain")
     for front in daemon.fronts:
         front.decisions.update_list(ListMode.COMPLETE, [A, B])
         assert (state_of(front), state_of(front, "b")) == (State.DRAINING, State.RUNNING)
@@ -66,7 +72,7 @@
     """Guards against: a drained host that restarts or is not listed for a while gets clients at every instance."""
     for front in daemon.fronts:
         front.decisions.update_list(ListMode.COMPLETE, [A, B])
-    daemon.apply_store_entry("hosts/a", "drain")
+    store(daemon, "hosts/a", "drain")
     for front in daemon.fronts:
         for mode, hosts in news:
             front.decisions.update_list(mode, hosts)
@@ -77,13 +83,13 @@
     """Guards against: the next good check of a host ends a drain that operators have committed."""
     for front in daemon.fronts:
         front.decisions.update_list(ListMode.COMPLETE, [A, B])
-    daemon.apply_store_entry("hosts/a", "drain")
-    daemon.apply_store_entry("hosts/b", "up 50%")
+    store(daemon, "hosts/a", "drain")
+    store(daemon, "hosts/b", "up 50%")
     for front in daemon.fronts:
         front.on_check_result("a", CheckResult(takes_work=True, weight_share=1.0))
         front.on_check_result("b", CheckResult(takes_work=False))
         assert (state_of(front), state_of(front, "b")) == (State.DRAINING, State.DRAINING)
-    daemon.apply_store_entry("hosts/b", "up")
+    store(daemon, "hosts/b", "up")
     assert [state_of(front, "b") for front in daemon.fronts] == [State.DRAINING] * 2
 
 
@@ -92,9 +98,9 @@
     """Guards against: instances differ by how much of the log they have seen. A removed key (empty) sets nothing."""
     for front in daemon.fronts:
         front.decisions.update_list(ListMode.COMPLETE, [A, B])
-    daemon.apply_store_entry("hosts/a", "drain")
+    store(daemon, "hosts/a", "drain")
     assert [state_of(front) for front in daemon.fronts] == [State.DRAINING] * 2
-    daemon.apply_store_entry("hosts/a", last_value)
+    store(daemon, "hosts/a", last_value)
     assert [state_of(front) for front in daemon.fronts] == [State.RUNNING] * 2
 
 
@@ -107,7 +113,7 @@
         event = random.choice(["store", "complete", "unlisted", "gone", "restart", "check"])
         if event == "store":
             stored = random.choice(["drain", "up", ""])
-            daemon.apply_store_entry("hosts/a", stored)
+            store(daemon, "hosts/a", stored)
         for front in daemon.fronts:
             if event == "complete":
                 front.decisions.update_list(ListMode.COMPLETE, [A, B])
@@ -129,7 +135,7 @@
     for front in daemon.fronts:
         front.decisions.update_list(ListMode.COMPLETE, [B])
         update = front.cluster.update
-        stored = threading.Thread(target=daemon.apply_store_entry, args=("hosts/a", "drain"))
+        stored = threading.Thread(target=store, args=(daemon, "hosts/a", "drain"))
 
         def update_and_wait(
             mode: ListMode,
@@ -147,4 +153,4 @@
             front.decisions.update_list(ListMode.COMPLETE, [A, B])
         stored.join()
         assert state_of(front) is State.DRAINING
-        daemon.apply_store_entry("hosts/a", "up")
+        store(daemon, "hosts/a", "up")
