Ids of open requests are kept in batches; the tests of departed clients share a start

Other requests wait for the table at most while 256 ids are written to it. Found by reading the change once more; no test's outcome changes.

--- a/bramblestile/memory/request_ids.py
+++ b/bramblestile/memory/request_ids.py
@@ -13,7 +13,8 @@
 import os
 import struct
 import threading
-from collections.abc import Callable, Iterable, Iterator
+import time
+from collections.abc import Callable, Iterator, Sequence
 from datetime import timedelta
 from hashlib import blake2b
 from pathlib import Path
@@ -26,6 +27,7 @@
 BUCKET_ENTRIES = 8
 _BUCKET = struct.Struct(f"<{2 * BUCKET_ENTRIES}Q")  # for each entry the id's hash, and until when it is remembered
 TABLE_BYTES = BUCKET_COUNT * _BUCKET.size
+MAX_LOCKED_IDS = 256  # written at once while others wait for the table
 LOCK_ATTEMPTS = 50  # a process that was stopped while it held the lock must not hold up the other one
 LOCK_RETRY_INTERVAL_S = 0.001
 
@@ -53,11 +55,12 @@
         with self._locked():
             return self._store(_hash(request_id), only_new=True)
 
-    def keep(self, request_ids: Iterable[str]) -> None:
+    def keep(self, request_ids: Sequence[str]) -> None:
         """Remember ids from now on for ``RETENTION``, whether they were remembered or not."""
-        with self._locked():
-            for request_id in request_ids:
-                self._store(_hash(request_id), only_new=False)
+        for start in range(0, len(request_ids), MAX_LOCKED_IDS):
+            with self._locked():
+                for request_id in request_ids[start : start + MAX_LOCKED_IDS]:
+                    self._store(_hash(request_id), only_new=False)
 
     def release(self, request_id: str) -> None:
         """Forget an id: its request cannot have run, or may be repeated."""
@@ -105,7 +108,7 @@
             try:
                 fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
             except BlockingIOError:
-                threading.Event().wait(LOCK_RETRY_INTERVAL_S)
+                time.sleep(LOCK_RETRY_INTERVAL_S)
             else:
                 return True
         return False
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -50,8 +50,15 @@
         self._released.set()
 
 
-def request(wire: str) -> bytes:
-    return open_line("1") if wire == "lines" else CONNECT_LINE + b"PING\r\n"
+def begin_held_request(wire: str) -> tuple[Scenario, HeldDial, socket.socket]:
+    """Send a client's request to a front whose dial is held; return both, and the client's socket."""
+    scenario = Scenario(wire, connect_timeout_us=1_000_000)
+    held = HeldDial(scenario)
+    scenario.run("c1 greeted")
+    client = scenario.peer("c1").sock
+    client.sendall(open_line("1") if wire == "lines" else CONNECT_LINE + b"PING\r\n")
+    assert held.begun.wait(TIMEOUT_S)
+    return scenario, held, client
 
 
 def leave(sock: socket.socket, reset: bool) -> None:
@@ -85,12 +92,7 @@
 @pytest.mark.parametrize("unread_bytes", [0, 2000, UNREAD_BYTES])
 def test_request_of_a_client_that_left_during_the_dial_is_not_sent(wire: str, reset: bool, unread_bytes: int) -> None:
     """Guards against: the end of a client stands behind unread bytes, or comes during a dial, and its request runs."""
-    scenario = Scenario(wire, connect_timeout_us=1_000_000)
-    held = HeldDial(scenario)
-    scenario.run("c1 greeted")
-    client = scenario.peer("c1").sock
-    client.sendall(request(wire))
-    assert held.begun.wait(TIMEOUT_S)
+    scenario, held, client = begin_held_request(wire)
     fill(client, Random(SEED).randbytes(unread_bytes).replace(b"\n", b"\0"))
     leave(client, reset)
     time.sleep(SETTLE_S)
@@ -104,12 +106,7 @@
 @pytest.mark.parametrize("wire", ["lines", "nats"])
 def test_client_that_sends_much_before_its_answer_is_told_so(wire: str) -> None:
     """Its end could stand behind what it has sent, so its request is not sent; but it is owed its answer."""
-    scenario = Scenario(wire, connect_timeout_us=1_000_000)
-    held = HeldDial(scenario)
-    scenario.run("c1 greeted")
-    client = scenario.peer("c1").sock
-    client.sendall(request(wire))
-    assert held.begun.wait(TIMEOUT_S)
+    scenario, held, client = begin_held_request(wire)
     fill(client, bytes(UNREAD_BYTES))
     held.release()
     host = scenario.peer("b0")
