--- a/bramblestile/wire/nats.py
+++ b/bramblestile/wire/nats.py
@@ -36,6 +36,8 @@
 MAX_LINE_BYTES = 4096  # one control line with its ending; a host's INFO may have four times as many
 PAYLOAD_VERBS = (b"PUB", b"HPUB", b"MSG", b"HMSG")  # their last word is the size of the payload that follows
 OVERLONG_LINE = re.compile(rb"^[^\n]{%d}" % (MAX_LINE_BYTES + 1), re.MULTILINE)
+NEWLINE = ord("\n")
+SHORT_READ_BYTES = 512  # up to which a search for words costs more than a look at the lines
 MAX_SIZE_DIGITS = 12  # of the size of a payload; int() raises ValueError for very long ones
 CONNECT_TIMEOUT = timedelta(seconds=2)  # for the client's CONNECT; NATS servers use the same
 PING, PONG, OK = b"PING\r\n", b"PONG\r\n", b"+OK\r\n"
@@ -202,48 +204,61 @@
         words = (*PAYLOAD_VERBS, b"INFO", *kinds)
         self._lower_words = [word.lower() for word in words]
         self._first_word = re.compile(rb"^[ \t\r\v\f]*(?:%b)(?=\s)" % b"|".join(words), re.MULTILINE | re.IGNORECASE)
-        # A word alone, as it is usually written, once or several times.
-        self._repeated_words = {word: re.compile(rb"(?:%b\r\n)+" % word) for word in kinds}
+        # By a word alone on its line, as it is usually written: its kind, and such lines one after another.
+        self._word_lines = {word + b"\r\n": (kind, re.compile(rb"(?:%b\r\n)+" % word)) for word, kind in kinds.items()}
 
     def feed(self, data: memoryview) -> tuple[int, list[MessageRun]]:
         """Return how much may be forwarded and the control lines that end in it. Raises ProtocolViolationError."""
         raw, position = bytes(data), 0
-        lowered = raw.lower()
-        has_words = any(word in lowered for word in self._lower_words)
+        has_words = len(raw) <= SHORT_READ_BYTES or self._contains_words(raw)
         runs: list[MessageRun] = []
+        run_kind, run_count = MessageKind.OTHER, 0
         while position < len(raw):
             if self._payload_remaining:
                 step = min(self._payload_remaining, len(raw) - position)
                 self._payload_remaining -= step
                 position += step
                 continue
-            position, run = self._next_run(raw, position, has_words)
-            if run is None:
+            position, kind, count = self._next_lines(raw, position, has_words)
+            if not count:
                 break
-            runs.append(run)
+            if kind is not run_kind and run_count:
+                runs.append(MessageRun(run_kind, run_count))
+                run_count = 0
+            run_kind = kind
+            run_count += count
+        if run_count:
+            runs.append(MessageRun(run_kind, run_count))
         return position, runs
 
-    def _next_run(self, raw: bytes, start: int, has_words: bool) -> tuple[int, MessageRun | None]:
-        """Return the end of the lines of one kind that begin at ``start``, and their run; None if none is complete."""
-        for word, pattern in self._repeated_words.items():
-            match = pattern.match(raw, start)
-            if match is not None:
-                return match.end(), MessageRun(self._kinds[word], (match.end() - start) // (len(word) + 2))
+    def _contains_words(self, raw: bytes) -> bool:
+        lowered = raw.lower()
+        return any(word in lowered for word in self._lower_words)
+
+    def _next_lines(self, raw: bytes, start: int, has_words: bool) -> tuple[int, MessageKind, int]:
+        """Return the end, the kind and the number of the lines of one kind at ``start``; 0 if none is complete."""
+        for word_line, (kind, pattern) in self._word_lines.items():
+            if raw.startswith(word_line, start):
+                match = pattern.match(raw, start)
+                end = start + len(word_line) if match is None else match.end()
+                return end, kind, (end - start) // len(word_line)
         # The end of a payload of the wrong size is no line's end, which the pattern of a line's first word relies on.
-        follows_line = not start or raw[start - 1 : start] == b"\n"
-        end = self._skip_other_lines(raw, start, has_words) if follows_line else start
-        if end > start:
-            return end, MessageRun(MessageKind.OTHER, raw.count(b"\n", start, end))
+        if not start or raw[start - 1] == NEWLINE:
+            end = self._skip_other_lines(raw, start, has_words)
+            if end > start:
+                return end, MessageKind.OTHER, raw.count(b"\n", start, end)
         end = raw.find(b"\n", start) + 1
         if (end or len(raw) + 1) - 1 - start > MAX_LINE_BYTES and self._max_payload is not None:
             raise ProtocolViolationError(LINE_TOO_LONG)
         if not end:
-            return start, None
-        return end, MessageRun(self._parse_line(raw[start:end]))
+            return start, MessageKind.OTHER, 0
+        return end, self._parse_line(raw[start:end]), 1
 
     def _skip_other_lines(self, raw: bytes, start: int, has_words: bool) -> int:
         """Return where the first line from ``start`` on begins that may mean something here, or that is incomplete."""
         match = self._first_word.search(raw, start) if has_words else None
+        if match is not None and match.start() == start:
+            return start
         end = raw.rfind(b"\n", start, len(raw) if match is None else match.start()) + 1
         if end <= start:
             return start
